--- a/ctl/load/engine_client.go
+++ b/ctl/load/engine_client.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"strconv"
 
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 )
 
 // engineClient sends chats straight to one stand-in engine, the baseline for
@@ -27,7 +27,7 @@
 }
 
 func (c *engineClient) chat(ctx context.Context, drawn request, seen *observer) *failure {
-	pieces, err := c.engine.Submit(ctx, platform.Generation{
+	pieces, err := c.engine.Submit(ctx, ports.Generation{
 		ID: c.prefix + strconv.Itoa(drawn.number), Model: c.work.Model,
 		Prompt: enginePrompt(drawn.text), MaxTokens: drawn.tokens,
 	})
--- a/ctl/wholepath/system_test.go
+++ b/ctl/wholepath/system_test.go
@@ -15,8 +15,8 @@
 	"persimmonwind.dev/policy/config"
 	"persimmonwind.dev/server/configstore"
 	"persimmonwind.dev/server/keys"
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/settings"
 )
 
@@ -182,8 +182,8 @@
 	b.Helper()
 	control, traffic, health := freeAddress(b), freeAddress(b), freeAddress(b)
 	id := "agent-" + name
-	s.setInstance(b, platform.Instance{
-		ID: id, Role: platform.RoleAgent, DataCentre: dataCentre, BackendServer: name, Control: control, Traffic: traffic,
+	s.setInstance(b, ports.Instance{
+		ID: id, Role: ports.RoleAgent, DataCentre: dataCentre, BackendServer: name, Control: control, Traffic: traffic,
 	})
 	path := writeSettings(b, id, settings.Agent{
 		Process: settings.Process{ID: id, DataCentre: dataCentre, Control: control, Store: s.storeURL, TLS: s.keys, LeaveDelayMS: leaveDelayMS},
@@ -196,8 +196,8 @@
 // addIdle lists an agent that does not run.
 func (s *system) addIdle(b *testing.B, index int) {
 	b.Helper()
-	s.setInstance(b, platform.Instance{
-		ID: "agent-" + idleName(index), Role: platform.RoleAgent, DataCentre: dataCentre, BackendServer: idleName(index),
+	s.setInstance(b, ports.Instance{
+		ID: "agent-" + idleName(index), Role: ports.RoleAgent, DataCentre: dataCentre, BackendServer: idleName(index),
 		Control: "127.0.0.1:9", Traffic: "127.0.0.1:9",
 	})
 }
@@ -205,8 +205,8 @@
 func (s *system) addEntry(b *testing.B, binary string) {
 	b.Helper()
 	control, callers, admin := freeAddress(b), freeAddress(b), freeAddress(b)
-	s.setInstance(b, platform.Instance{
-		ID: entryName, Role: platform.RoleEntry, DataCentre: dataCentre, Control: control, Traffic: callers,
+	s.setInstance(b, ports.Instance{
+		ID: entryName, Role: ports.RoleEntry, DataCentre: dataCentre, Control: control, Traffic: callers,
 	})
 	path := writeSettings(b, entryName, settings.Entry{
 		Process: settings.Process{ID: entryName, DataCentre: dataCentre, Control: control, Store: s.storeURL, TLS: s.keys, LeaveDelayMS: leaveDelayMS},
@@ -217,7 +217,7 @@
 	awaitOK(b, s.entryURL+"/readyz")
 }
 
-func (s *system) setInstance(b *testing.B, instance platform.Instance) {
+func (s *system) setInstance(b *testing.B, instance ports.Instance) {
 	b.Helper()
 	request, err := http.NewRequest(http.MethodPut, s.storeURL+"/instances/"+instance.ID, bytes.NewReader(file(instance)))
 	if err != nil {
--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -18,8 +18,8 @@
 	"persimmonwind.dev/server/leave"
 	"persimmonwind.dev/server/metrics"
 	"persimmonwind.dev/server/node"
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/settings"
 	"persimmonwind.dev/server/wait"
 )
@@ -39,9 +39,9 @@
 	settings settings.Agent
 	node     *node.Node
 	gate     *gate
-	engine   platform.Engine  // Nil for a plain service.
-	service  platform.Service // Nil for a model engine.
-	group    *group.Group     // Nil for a plain service.
+	engine   ports.Engine  // Nil for a plain service.
+	service  ports.Service // Nil for a model engine.
+	group    *group.Group  // Nil for a plain service.
 	traffic  net.Listener
 	health   net.Listener
 	server   *http.Server
@@ -54,7 +54,7 @@
 // New returns an agent that is not running yet.
 func New(config settings.Agent, listeners Listeners, log *logrus.Entry) *Agent {
 	self := control.Self{
-		ID: config.ID, Role: platform.RoleAgent,
+		ID: config.ID, Role: ports.RoleAgent,
 		DataCentre: config.DataCentre, BackendServer: config.BackendServer,
 	}
 	a := &Agent{
--- a/server/agent/gate.go
+++ b/server/agent/gate.go
@@ -11,7 +11,7 @@
 	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/server/node"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -64,7 +64,7 @@
 		return
 	}
 	s.broken = true
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, ports.ErrUnavailable) {
 		s.gate.node.Loop.Post(admission.Unreachable{})
 	}
 }
--- a/server/agent/generate.go
+++ b/server/agent/generate.go
@@ -10,7 +10,7 @@
 
 	"persimmonwind.dev/policy/answer"
 	"persimmonwind.dev/policy/result"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/stream"
 	"persimmonwind.dev/server/wire"
 )
@@ -23,7 +23,7 @@
 
 // generate carries one generation from the engine to the entry.
 func (a *Agent) generate(ctx context.Context, w http.ResponseWriter, slot *slot, work wire.Work, body []byte) bool {
-	var request platform.Generation
+	var request ports.Generation
 	if err := json.Unmarshal(body, &request); err != nil || a.engine == nil {
 		refuse(w, result.Errorf(result.BadRequest, "work %q is not a generation for this backend server", work.RequestID))
 		return false
@@ -56,7 +56,7 @@
 
 // carrier copies one generation's pieces and resumes a broken stream.
 type carrier struct {
-	engine    platform.Engine
+	engine    ports.Engine
 	next      func(context.Context, *stream.Reader) (stream.Piece, error)
 	id        string
 	writer    *stream.Writer
@@ -65,7 +65,7 @@
 	sendErr   error // Set once the entry can't be reached.
 }
 
-func newCarrier(engine platform.Engine, request platform.Generation, w http.ResponseWriter) *carrier {
+func newCarrier(engine ports.Engine, request ports.Generation, w http.ResponseWriter) *carrier {
 	flusher, _ := w.(http.Flusher)
 	return &carrier{
 		engine: engine, id: request.ID, writer: stream.NewWriter(w, flusher.Flush),
--- a/server/agent/generate_test.go
+++ b/server/agent/generate_test.go
@@ -12,8 +12,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/standin/engine"
 	"persimmonwind.dev/server/stream"
 )
@@ -34,7 +34,7 @@
 	adapter := httpapi.NewEngine(server.URL, transport)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	request := platform.Generation{ID: "a", Prompt: "prompt", MaxTokens: testTokens, From: from}
+	request := ports.Generation{ID: "a", Prompt: "prompt", MaxTokens: testTokens, From: from}
 	pieces, err := adapter.Submit(ctx, request)
 	if err != nil {
 		return "", false, err
@@ -106,7 +106,7 @@
 		defer server.Close()
 		a := &Agent{engine: httpapi.NewEngine(server.URL, http.DefaultTransport)}
 		ctx, leave := context.WithCancel(context.Background())
-		pieces, err := a.engine.Submit(ctx, platform.Generation{ID: "a", Prompt: "p", MaxTokens: 1_000_000})
+		pieces, err := a.engine.Submit(ctx, ports.Generation{ID: "a", Prompt: "p", MaxTokens: 1_000_000})
 		So(err, ShouldBeNil)
 		_, err = pieces.Next()
 		So(err, ShouldBeNil)
--- a/server/agent/keyed.go
+++ b/server/agent/keyed.go
@@ -17,7 +17,7 @@
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/node"
 	"persimmonwind.dev/server/once"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -35,14 +35,14 @@
 	agent   string
 	boot    string
 	node    *node.Node
-	service platform.Service
+	service ports.Service
 	rows    *once.Rows
 
 	mu     sync.Mutex
 	active map[string]*execution // By nonce.
 }
 
-func newExecutions(agent string, n *node.Node, service platform.Service) *executions {
+func newExecutions(agent string, n *node.Node, service ports.Service) *executions {
 	return &executions{
 		agent: agent, boot: uuid.NewString(), node: n, service: service,
 		rows:   &once.Rows{Table: n.Store, Objects: n.Store.Objects()},
@@ -147,14 +147,14 @@
 func (x *execution) call(ctx context.Context) reduce.Event {
 	ctx, cancel := context.WithTimeout(ctx, x.owner.callTimeout(x.work))
 	defer cancel()
-	answer, err := x.owner.service.Call(ctx, platform.ServiceCall{
+	answer, err := x.owner.service.Call(ctx, ports.ServiceCall{
 		ID: x.work.RequestID, Service: x.work.Service, Operation: x.work.Operation, Body: x.body,
 	})
 	if err == nil {
 		return policy.Answered{Answer: policy.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: string(answer.Body)}}
 	}
 	x.fail(err)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, ports.ErrUnavailable) {
 		return policy.Unreached{}
 	}
 	logevent.Write(x.owner.node.Log(), logevent.RunOutcomeUnknown, logrus.Fields{"request": x.work.RequestID, "error": err.Error()})
--- a/server/agent/poller.go
+++ b/server/agent/poller.go
@@ -7,7 +7,7 @@
 
 	"persimmonwind.dev/policy/admission"
 	"persimmonwind.dev/policy/prefix"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 const (
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	load, err := p.agent.engine.Load(ctx)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, ports.ErrUnavailable) {
 		p.agent.node.Loop.Post(admission.Unreachable{})
 	}
 	if err != nil {
--- a/server/agent/traffic.go
+++ b/server/agent/traffic.go
@@ -10,7 +10,7 @@
 
 	"persimmonwind.dev/policy/prefix"
 	"persimmonwind.dev/policy/result"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -70,7 +70,7 @@
 
 // promptOf describes the prompt of a generation; other work has none.
 func promptOf(body []byte) prefix.Prompt {
-	var generation platform.Generation
+	var generation ports.Generation
 	if err := json.Unmarshal(body, &generation); err != nil {
 		return prefix.Prompt{}
 	}
@@ -92,7 +92,7 @@
 	if !work.Idempotent {
 		return a.callKeyed(ctx, w, slot, work, body)
 	}
-	answer, err := a.service.Call(ctx, platform.ServiceCall{
+	answer, err := a.service.Call(ctx, ports.ServiceCall{
 		ID: work.RequestID, Service: work.Service, Operation: work.Operation, Body: body,
 	})
 	if err != nil {
@@ -108,7 +108,7 @@
 
 // backendError returns the result of a call to the backend server that failed.
 func backendError(err error) *result.Error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, ports.ErrUnavailable) {
 		return result.Errorf(result.NoBackendServer, "%v", err)
 	}
 	return result.Errorf(result.OutcomeUnknown, "%v", err)
--- a/server/configstore/apply.go
+++ b/server/configstore/apply.go
@@ -9,7 +9,7 @@
 
 	"persimmonwind.dev/policy/config"
 	"persimmonwind.dev/policy/result"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 const (
@@ -154,17 +154,17 @@
 
 // transaction stores what is large and returns the one transaction that
 // accepts the change.
-func (s *Store) transaction(ctx context.Context, head Head, version uint64, change Change, p prepared) (platform.Tx, error) {
+func (s *Store) transaction(ctx context.Context, head Head, version uint64, change Change, p prepared) (ports.Tx, error) {
 	for _, name := range p.changed {
 		object := objectName(name, p.next.Versions[name].Digest)
 		if err := s.put(ctx, object, p.next.Files[name]); err != nil {
-			return platform.Tx{}, unavailable(fmt.Errorf("store file %q: %w", name, err))
+			return ports.Tx{}, unavailable(fmt.Errorf("store file %q: %w", name, err))
 		}
 	}
 	record := newRecord(head, change, p)
 	if len(p.changes) > maxInlineChanges {
 		if err := s.storeChanges(ctx, &record, p.changes); err != nil {
-			return platform.Tx{}, err
+			return ports.Tx{}, err
 		}
 	}
 	record.Hash = record.hash()
@@ -180,28 +180,28 @@
 func (s *Store) put(ctx context.Context, name string, body []byte) error {
 	for {
 		err := s.Objects.Put(ctx, name, body)
-		if err == nil || !errors.Is(err, platform.ErrUnknownOutcome) || !pause(ctx) {
+		if err == nil || !errors.Is(err, ports.ErrUnknownOutcome) || !pause(ctx) {
 			return err
 		}
 	}
 }
 
-func acceptTx(next Head, version uint64, record Record) (platform.Tx, error) {
+func acceptTx(next Head, version uint64, record Record) (ports.Tx, error) {
 	headValue, err := json.Marshal(next)
 	if err != nil {
-		return platform.Tx{}, fmt.Errorf("encode configuration head: %w", err)
+		return ports.Tx{}, fmt.Errorf("encode configuration head: %w", err)
 	}
 	recordValue, err := json.Marshal(record)
 	if err != nil {
-		return platform.Tx{}, fmt.Errorf("encode audit record %d: %w", record.Revision, err)
+		return ports.Tx{}, fmt.Errorf("encode audit record %d: %w", record.Revision, err)
 	}
 	applyValue, err := json.Marshal(next.Revision)
 	if err != nil {
-		return platform.Tx{}, fmt.Errorf("encode apply %q: %w", record.ApplyID, err)
+		return ports.Tx{}, fmt.Errorf("encode apply %q: %w", record.ApplyID, err)
 	}
-	return platform.Tx{
-		Conditions: []platform.Condition{{Key: keyHead, Version: version}},
-		Writes: []platform.Write{
+	return ports.Tx{
+		Conditions: []ports.Condition{{Key: keyHead, Version: version}},
+		Writes: []ports.Write{
 			{Key: keyHead, Value: headValue},
 			{Key: recordKey(record.Revision), Value: recordValue},
 			{Key: applyKey(record.ApplyID), Value: applyValue},
@@ -212,18 +212,18 @@
 // commit sends the transaction until its outcome is certain. Sending it again
 // is safe: all copies require the same version of the head, so that at most
 // one takes effect.
-func (s *Store) commit(ctx context.Context, tx platform.Tx, change Change) error {
+func (s *Store) commit(ctx context.Context, tx ports.Tx, change Change) error {
 	uncertain := false
 	for {
 		err := s.Table.Commit(ctx, tx)
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, ports.ErrConflict):
 			return s.settle(ctx, change)
-		case errors.Is(err, platform.ErrUnavailable) && !uncertain:
+		case errors.Is(err, ports.ErrUnavailable) && !uncertain:
 			return unavailable(err)
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, ports.ErrUnavailable):
 			uncertain = true
 		}
 		if !pause(ctx) {
--- a/server/configstore/apply_test.go
+++ b/server/configstore/apply_test.go
@@ -14,7 +14,7 @@
 	"persimmonwind.dev/policy/config"
 	"persimmonwind.dev/policy/jsonfile"
 	"persimmonwind.dev/policy/result"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 func dataCentres(region string, out ...bool) []byte {
@@ -167,7 +167,7 @@
 		rewrite := func(record Record) {
 			value, err := json.Marshal(record)
 			So(err, ShouldBeNil)
-			So(s.Table.Commit(ctx, platform.Tx{Writes: []platform.Write{{Key: recordKey(record.Revision), Value: value}}}), ShouldBeNil)
+			So(s.Table.Commit(ctx, ports.Tx{Writes: []ports.Write{{Key: recordKey(record.Revision), Value: value}}}), ShouldBeNil)
 		}
 		broken := func() {
 			_, err := s.VerifyAudit(ctx)
@@ -191,7 +191,7 @@
 			broken()
 		})
 		Convey("a removed record is found", func() {
-			So(s.Table.Commit(ctx, platform.Tx{Writes: []platform.Write{{Key: recordKey(2), Delete: true}}}), ShouldBeNil)
+			So(s.Table.Commit(ctx, ports.Tx{Writes: []ports.Write{{Key: recordKey(2), Delete: true}}}), ShouldBeNil)
 			broken()
 		})
 	})
--- a/server/configstore/configstore.go
+++ b/server/configstore/configstore.go
@@ -15,7 +15,7 @@
 
 	"persimmonwind.dev/policy/config"
 	"persimmonwind.dev/policy/result"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // keyHead is the key of the head's row.
@@ -33,8 +33,8 @@
 
 // Store reads and writes the accepted configuration.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   ports.Table
+	Objects ports.Objects
 }
 
 // Head returns the head and the version of its row.
--- a/server/configstore/faults_test.go
+++ b/server/configstore/faults_test.go
@@ -6,7 +6,7 @@
 	"os"
 	"testing"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/standin/store"
 )
 
@@ -30,13 +30,13 @@
 
 // faultyTable is a table service whose commits meet the fates in turn.
 type faultyTable struct {
-	platform.Table
+	ports.Table
 	fates []fate
-	late  []platform.Tx
+	late  []ports.Tx
 	after func() // Called after each commit.
 }
 
-func (f *faultyTable) Commit(ctx context.Context, tx platform.Tx) error {
+func (f *faultyTable) Commit(ctx context.Context, tx ports.Tx) error {
 	if f.after != nil {
 		defer f.after()
 	}
@@ -46,15 +46,15 @@
 	}
 	switch next {
 	case refused:
-		return platform.ErrUnavailable
+		return ports.ErrUnavailable
 	case answerLost:
 		_ = f.Table.Commit(ctx, tx)
-		return platform.ErrUnknownOutcome
+		return ports.ErrUnknownOutcome
 	case neverSeen:
-		return platform.ErrUnknownOutcome
+		return ports.ErrUnknownOutcome
 	case delayed:
 		f.late = append(f.late, tx)
-		return platform.ErrUnknownOutcome
+		return ports.ErrUnknownOutcome
 	}
 	return f.Table.Commit(ctx, tx)
 }
--- a/server/dev/processes.go
+++ b/server/dev/processes.go
@@ -8,7 +8,7 @@
 	"persimmonwind.dev/policy/config"
 	"persimmonwind.dev/server/agent"
 	"persimmonwind.dev/server/entry"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/settings"
 	"persimmonwind.dev/server/standin/engine"
 	"persimmonwind.dev/server/standin/service"
@@ -29,8 +29,8 @@
 		return fmt.Errorf("listen for agent of %q: %w", server.Name, err)
 	}
 	id := "agent-" + server.Name
-	s.Store.SetInstance(platform.Instance{
-		ID: id, Role: platform.RoleAgent, DataCentre: server.DataCentre, BackendServer: server.Name,
+	s.Store.SetInstance(ports.Instance{
+		ID: id, Role: ports.RoleAgent, DataCentre: server.DataCentre, BackendServer: server.Name,
 		Control: control.Addr().String(), Traffic: traffic.Addr().String(),
 	})
 	health, err := net.Listen("tcp", loopback)
@@ -90,8 +90,8 @@
 		return err
 	}
 	listeners.Keys = s.keys
-	s.Store.SetInstance(platform.Instance{
-		ID: id, Role: platform.RoleEntry, DataCentre: dataCentre,
+	s.Store.SetInstance(ports.Instance{
+		ID: id, Role: ports.RoleEntry, DataCentre: dataCentre,
 		Control: listeners.Control.Addr().String(), Traffic: listeners.Callers.Addr().String(),
 	})
 	process := settings.Process{ID: id, DataCentre: dataCentre, Store: s.storeURL}
--- a/server/e2e/processes_test.go
+++ b/server/e2e/processes_test.go
@@ -22,8 +22,8 @@
 	"persimmonwind.dev/server/configstore"
 	"persimmonwind.dev/server/dev"
 	"persimmonwind.dev/server/keys"
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/settings"
 )
 
@@ -192,8 +192,8 @@
 	control, traffic, health := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
 	s.traffic[name] = traffic
 	id := "agent-" + name
-	s.setInstance(platform.Instance{
-		ID: id, Role: platform.RoleAgent, DataCentre: dataCentre, BackendServer: name,
+	s.setInstance(ports.Instance{
+		ID: id, Role: ports.RoleAgent, DataCentre: dataCentre, BackendServer: name,
 		Control: control, Traffic: traffic,
 	})
 	path := s.writeSettings(id, settings.Agent{
@@ -208,8 +208,8 @@
 func (s *system) addEntry(id, dataCentre string) {
 	s.t.Helper()
 	control, callers, admin := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
-	s.setInstance(platform.Instance{
-		ID: id, Role: platform.RoleEntry, DataCentre: dataCentre, Control: control, Traffic: callers,
+	s.setInstance(ports.Instance{
+		ID: id, Role: ports.RoleEntry, DataCentre: dataCentre, Control: control, Traffic: callers,
 	})
 	path := s.writeSettings(id, settings.Entry{
 		Process: settings.Process{ID: id, DataCentre: dataCentre, Control: control, Store: s.storeURL, TLS: s.keys, LeaveDelayMS: leaveDelayMS, Peers: s.peers},
@@ -221,7 +221,7 @@
 	s.awaitOK(s.callers[id] + "/readyz")
 }
 
-func (s *system) setInstance(instance platform.Instance) {
+func (s *system) setInstance(instance ports.Instance) {
 	s.t.Helper()
 	s.put(s.storeURL+"/instances/"+instance.ID, instance)
 }
--- a/server/entry/attempt/agent_client.go
+++ b/server/entry/attempt/agent_client.go
@@ -12,8 +12,8 @@
 
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/server/entry/route"
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/stream"
 	"persimmonwind.dev/server/wire"
 )
@@ -82,7 +82,7 @@
 }
 
 // openGeneration sends one generation and returns the stream of its answer.
-func (c *agentClient) openGeneration(ctx context.Context, target route.Target, work wire.Work, generation platform.Generation) (*stream.Reader, *result.Error) {
+func (c *agentClient) openGeneration(ctx context.Context, target route.Target, work wire.Work, generation ports.Generation) (*stream.Reader, *result.Error) {
 	body, err := json.Marshal(generation)
 	if err != nil {
 		return nil, result.From(err)
--- a/server/entry/attempt/cancels_test.go
+++ b/server/entry/attempt/cancels_test.go
@@ -10,17 +10,17 @@
 	policy "persimmonwind.dev/policy/once"
 	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/server/once"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/standin/store"
 )
 
 // heldTable tells each commit and delays it until it is let go.
 type heldTable struct {
-	platform.Table
+	ports.Table
 	commits, held chan struct{}
 }
 
-func (h heldTable) Commit(ctx context.Context, tx platform.Tx) error {
+func (h heldTable) Commit(ctx context.Context, tx ports.Tx) error {
 	h.commits <- struct{}{}
 	<-h.held
 	return h.Table.Commit(ctx, tx)
--- a/server/entry/attempt/generation.go
+++ b/server/entry/attempt/generation.go
@@ -9,7 +9,7 @@
 	"persimmonwind.dev/policy/answer"
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/server/entry/route"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/stream"
 	"persimmonwind.dev/server/wait"
 	"persimmonwind.dev/server/wire"
@@ -106,8 +106,8 @@
 }
 
 // remaining returns the generation behind the tokens already passed on.
-func (g *generation) remaining() platform.Generation {
-	return platform.Generation{
+func (g *generation) remaining() ports.Generation {
+	return ports.Generation{
 		Model: g.request.Model, Adapter: g.request.Adapter, Prompt: g.request.Prompt,
 		MaxTokens: g.request.MaxTokens, Priority: g.request.Priority, From: g.assembler.Next(),
 	}
--- a/server/entry/attempt/runner.go
+++ b/server/entry/attempt/runner.go
@@ -10,7 +10,7 @@
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/node"
 	"persimmonwind.dev/server/once"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -54,7 +54,7 @@
 func liveEntries(n *node.Node) []string {
 	var ids []string
 	for _, instance := range n.Instances() {
-		if instance.Role == platform.RoleEntry && !instance.Leaving {
+		if instance.Role == ports.RoleEntry && !instance.Leaving {
 			ids = append(ids, instance.ID)
 		}
 	}
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -19,7 +19,7 @@
 	"persimmonwind.dev/server/leave"
 	"persimmonwind.dev/server/metrics"
 	"persimmonwind.dev/server/node"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/settings"
 	"persimmonwind.dev/server/wait"
 )
@@ -49,7 +49,7 @@
 
 // New returns an entry that is not running yet.
 func New(config settings.Entry, listeners Listeners, log *logrus.Entry) *Entry {
-	self := control.Self{ID: config.ID, Role: platform.RoleEntry, DataCentre: config.DataCentre}
+	self := control.Self{ID: config.ID, Role: ports.RoleEntry, DataCentre: config.DataCentre}
 	n := node.New(node.Options{Self: self, Control: listeners.Control, StoreURL: config.Store, Traffic: listeners.Callers.Addr().String(), Peers: config.Peers, Keys: listeners.Keys, Log: log})
 	e := &Entry{settings: config, node: n, runner: attempt.NewRunner(n), limiter: limit.New(n, config.ID), listeners: listeners}
 	e.metrics = metrics.New(n.State)
--- a/server/entry/limit/limit.go
+++ b/server/entry/limit/limit.go
@@ -15,7 +15,7 @@
 	"persimmonwind.dev/policy/share"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/node"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -211,7 +211,7 @@
 func (l *Limiter) follow() {
 	entries := []string{l.self}
 	for _, instance := range l.node.Instances() {
-		if instance.Role == platform.RoleEntry && !instance.Leaving && instance.ID != l.self {
+		if instance.Role == ports.RoleEntry && !instance.Leaving && instance.ID != l.self {
 			entries = append(entries, instance.ID)
 		}
 	}
--- a/server/entry/route/route.go
+++ b/server/entry/route/route.go
@@ -14,7 +14,7 @@
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/policy/retry"
 	"persimmonwind.dev/server/node"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -158,7 +158,7 @@
 	return server.Model == query.Model
 }
 
-func targetOf(instance platform.Instance) Target {
+func targetOf(instance ports.Instance) Target {
 	return Target{BackendServer: instance.BackendServer, Traffic: instance.Traffic, Control: instance.Control}
 }
 
--- a/server/group/decision.go
+++ b/server/group/decision.go
@@ -9,7 +9,7 @@
 
 	"persimmonwind.dev/policy/planner"
 	"persimmonwind.dev/server/logevent"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // decisionInterval is the least time between two writes of the same decision.
@@ -47,7 +47,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		err = g.node.Store.Commit(ctx, platform.Tx{Writes: []platform.Write{{Key: DecisionKey(decision.Group), Value: body}}})
+		err = g.node.Store.Commit(ctx, ports.Tx{Writes: []ports.Write{{Key: DecisionKey(decision.Group), Value: body}}})
 	}
 	if err != nil {
 		g.log(logevent.MapOrderFailed, logrus.Fields{"decision": decision.Reason, "error": err.Error()})
--- a/server/group/group.go
+++ b/server/group/group.go
@@ -18,7 +18,7 @@
 	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/node"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 const (
@@ -29,7 +29,7 @@
 // Group is an agent's part in its group.
 type Group struct {
 	node   *node.Node
-	engine platform.RankEngine
+	engine ports.RankEngine
 
 	orders chan expertmap.Forward // To the engine, in sequence.
 
@@ -45,7 +45,7 @@
 }
 
 // New registers the executors and the RPC receiver at the agent's node.
-func New(n *node.Node, engine platform.RankEngine) *Group {
+func New(n *node.Node, engine ports.RankEngine) *Group {
 	g := &Group{
 		node: n, engine: engine,
 		orders:  make(chan expertmap.Forward, orderQueue),
@@ -143,4 +143,4 @@
 }
 
 // outcomeUnknown reports whether a write may have taken effect.
-func outcomeUnknown(err error) bool { return !errors.Is(err, platform.ErrConflict) }
+func outcomeUnknown(err error) bool { return !errors.Is(err, ports.ErrConflict) }
--- a/server/group/orders.go
+++ b/server/group/orders.go
@@ -9,7 +9,7 @@
 
 	"persimmonwind.dev/policy/expertmap"
 	"persimmonwind.dev/server/logevent"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -78,14 +78,14 @@
 // needs them.
 func (g *Group) forward(ctx context.Context, forward expertmap.Forward) {
 	state, err := g.give(ctx, forward.Order)
-	if errors.Is(err, platform.ErrFenced) || errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, ports.ErrFenced) || errors.Is(err, ports.ErrUnavailable) {
 		g.log(logevent.MapOrderFailed, logrus.Fields{"order": forward.Order.Kind, "error": err.Error()})
 	}
 	g.answer(forward.Ticket, answer{state: state, err: err})
 }
 
 func (g *Group) give(ctx context.Context, order expertmap.Order) (expertmap.EngineState, error) {
-	request := platform.RankOrder{Fence: order.Number.Engine(), Order: order}
+	request := ports.RankOrder{Fence: order.Number.Engine(), Order: order}
 	if id, needs := mapOf(order); needs {
 		body, err := g.fetch(ctx, id)
 		if err != nil {
@@ -194,7 +194,7 @@
 	state := g.node.State()
 	for _, instance := range g.node.Instances() {
 		server := state.View.InForce.BackendServers[instance.BackendServer]
-		if instance.Role == platform.RoleAgent && server.Group == state.Member.Group && server.Rank == rank {
+		if instance.Role == ports.RoleAgent && server.Group == state.Member.Group && server.Rank == rank {
 			return instance.Control, true
 		}
 	}
--- a/server/group/plan.go
+++ b/server/group/plan.go
@@ -9,7 +9,7 @@
 	"persimmonwind.dev/policy/expertmap"
 	"persimmonwind.dev/policy/planner"
 	"persimmonwind.dev/server/logevent"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 const (
@@ -88,7 +88,7 @@
 	return planner.Recompute(shape, load, nil)
 }
 
-func costs(report platform.RankReport) planner.Costs {
+func costs(report ports.RankReport) planner.Costs {
 	var total float64
 	for _, layer := range report.Popularity {
 		for _, tokens := range layer {
--- a/server/group/table.go
+++ b/server/group/table.go
@@ -7,7 +7,7 @@
 	"persimmonwind.dev/policy/expertmap"
 	"persimmonwind.dev/policy/lease"
 	"persimmonwind.dev/policy/reduce"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 func (g *Group) leaseKey() string  { return "groups/" + g.name() + "/lease" }
@@ -33,7 +33,7 @@
 	return true
 }
 
-func (g *Group) read(ctx context.Context, key string, failed reduce.Event, event func(platform.Row) (reduce.Event, error)) {
+func (g *Group) read(ctx context.Context, key string, failed reduce.Event, event func(ports.Row) (reduce.Event, error)) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := g.node.Store.Get(ctx, key)
@@ -48,25 +48,25 @@
 	g.node.Loop.Post(read)
 }
 
-func leaseRead(row platform.Row) (reduce.Event, error) {
+func leaseRead(row ports.Row) (reduce.Event, error) {
 	var value lease.Row
 	err := decode(row, &value)
 	return lease.Read{Row: value, Version: row.Version}, err
 }
 
-func fenceRead(row platform.Row) (reduce.Event, error) {
+func fenceRead(row ports.Row) (reduce.Event, error) {
 	var value lease.Row
 	err := decode(row, &value)
 	return expertmap.FenceRead{Fence: value.Fence}, err
 }
 
-func recordRead(row platform.Row) (reduce.Event, error) {
+func recordRead(row ports.Row) (reduce.Event, error) {
 	var value expertmap.Record
 	err := decode(row, &value)
 	return expertmap.RecordRead{Record: value, Version: row.Version}, err
 }
 
-func decode(row platform.Row, value any) error {
+func decode(row ports.Row, value any) error {
 	if row.Version == 0 {
 		return nil
 	}
@@ -106,16 +106,16 @@
 	if err != nil {
 		return 0, err
 	}
-	tx := platform.Tx{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: body}},
+	tx := ports.Tx{
+		Conditions: []ports.Condition{{Key: key, Version: version}},
+		Writes:     []ports.Write{{Key: key, Value: body}},
 	}
 	if err := g.node.Store.Commit(ctx, tx); err != nil {
 		return 0, err
 	}
 	row, err := g.node.Store.Get(ctx, key)
 	if err != nil || string(row.Value) != string(body) {
-		return 0, platform.ErrUnknownOutcome
+		return 0, ports.ErrUnknownOutcome
 	}
 	return row.Version, nil
 }
--- a/server/node/configuration.go
+++ b/server/node/configuration.go
@@ -15,7 +15,7 @@
 	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/policy/view"
 	"persimmonwind.dev/server/logevent"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wire"
 )
 
@@ -104,7 +104,7 @@
 	current := n.State().View.InForce
 	peers := n.fetchCandidates(current)
 	found := make(chan *config.Snapshot, len(peers))
-	forEach(peers, func(peer platform.Instance) {
+	forEach(peers, func(peer ports.Instance) {
 		snapshot, err := n.configurationOf(ctx, peer, current)
 		if err != nil {
 			logevent.Write(n.Log(), logevent.PeerFetchFailed, logrus.Fields{"peer": peer.Control, "error": err.Error()})
@@ -131,10 +131,10 @@
 // fetchCandidates returns the peers to ask: the one that told of a newer
 // revision and some others, or without any configuration some in each data
 // centre, so that the newest reachable one is found.
-func (n *Node) fetchCandidates(current *config.Snapshot) []platform.Instance {
-	var peers []platform.Instance
+func (n *Node) fetchCandidates(current *config.Snapshot) []ports.Instance {
+	var peers []ports.Instance
 	if teller := n.teller.Load(); teller != nil {
-		peers = n.members.peers(func(instance platform.Instance) bool { return instance.ID == *teller })
+		peers = n.members.peers(func(instance ports.Instance) bool { return instance.ID == *teller })
 	}
 	if current != nil {
 		return append(peers, sample(n.peersIn(""), fetchPeers)...)
@@ -150,7 +150,7 @@
 }
 
 // configurationOf returns the peer's configuration, nil where it is not newer.
-func (n *Node) configurationOf(ctx context.Context, peer platform.Instance, current *config.Snapshot) (*config.Snapshot, error) {
+func (n *Node) configurationOf(ctx context.Context, peer ports.Instance, current *config.Snapshot) (*config.Snapshot, error) {
 	request := wire.ConfigurationRequest{Stamp: n.Stamp(), Have: digests(current)}
 	reply := new(wire.ConfigurationReply)
 	if err := n.Pool.Call(ctx, peer.Control, "Peer.Configuration", request, reply); err != nil {
--- a/server/node/exchange.go
+++ b/server/node/exchange.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"persimmonwind.dev/policy/view"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wait"
 	"persimmonwind.dev/server/wire"
 )
@@ -20,9 +20,9 @@
 )
 
 // Self returns the node's own line of the instance list.
-func (n *Node) Self() platform.Instance {
+func (n *Node) Self() ports.Instance {
 	self := n.options.Self
-	return platform.Instance{
+	return ports.Instance{
 		ID: self.ID, Role: self.Role, DataCentre: self.DataCentre, BackendServer: self.BackendServer,
 		Control: reachable(n.options.Control.Addr().String()), Traffic: reachable(n.options.Traffic),
 		Leaving: n.State().Leaving,
@@ -52,10 +52,10 @@
 
 // peersIn returns the peers in the data centre, or everywhere for "": the
 // entries, since they read the store most, or the agents where there are none.
-func (n *Node) peersIn(dataCentre string) []platform.Instance {
-	in := func(instance platform.Instance) bool { return dataCentre == "" || instance.DataCentre == dataCentre }
-	peers := n.members.peers(func(instance platform.Instance) bool {
-		return in(instance) && instance.Role == platform.RoleEntry
+func (n *Node) peersIn(dataCentre string) []ports.Instance {
+	in := func(instance ports.Instance) bool { return dataCentre == "" || instance.DataCentre == dataCentre }
+	peers := n.members.peers(func(instance ports.Instance) bool {
+		return in(instance) && instance.Role == ports.RoleEntry
 	})
 	if len(peers) == 0 {
 		peers = n.members.peers(in)
@@ -67,29 +67,29 @@
 }
 
 // configuredPeers returns the peers from the settings.
-func (n *Node) configuredPeers() []platform.Instance {
-	var peers []platform.Instance
+func (n *Node) configuredPeers() []ports.Instance {
+	var peers []ports.Instance
 	for _, address := range n.options.Peers {
-		peers = append(peers, platform.Instance{Control: address})
+		peers = append(peers, ports.Instance{Control: address})
 	}
 	return peers
 }
 
 // sample returns up to count of the peers, drawn evenly.
-func sample(peers []platform.Instance, count int) []platform.Instance {
+func sample(peers []ports.Instance, count int) []ports.Instance {
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers[:min(count, len(peers))]
 }
 
 // exchangeWith starts exchanges with count of the peers.
-func (n *Node) exchangeWith(ctx context.Context, peers []platform.Instance, count int) {
+func (n *Node) exchangeWith(ctx context.Context, peers []ports.Instance, count int) {
 	for _, peer := range sample(peers, count) {
 		go func() { _ = n.exchange(ctx, peer) }()
 	}
 }
 
 // exchange posts what the peer knows.
-func (n *Node) exchange(ctx context.Context, peer platform.Instance) error {
+func (n *Node) exchange(ctx context.Context, peer ports.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	// The time before the call: what the peer says is true at that time or later.
@@ -109,7 +109,7 @@
 
 // forEach calls the function for each peer, a bounded number at a time, and
 // returns when all have ended.
-func forEach(peers []platform.Instance, call func(platform.Instance)) {
+func forEach(peers []ports.Instance, call func(ports.Instance)) {
 	slots := make(chan struct{}, fanOut)
 	var group sync.WaitGroup
 	for _, peer := range peers {
@@ -125,8 +125,8 @@
 // announce tells every entry where this process listens and whether it leaves,
 // ahead of the instance list.
 func (n *Node) announce(ctx context.Context) {
-	entries := n.members.peers(func(instance platform.Instance) bool { return instance.Role == platform.RoleEntry })
-	forEach(entries, func(peer platform.Instance) { _ = n.exchange(ctx, peer) })
+	entries := n.members.peers(func(instance ports.Instance) bool { return instance.Role == ports.RoleEntry })
+	forEach(entries, func(peer ports.Instance) { _ = n.exchange(ctx, peer) })
 }
 
 // announceStart announces the process once it knows others.
--- a/server/node/members.go
+++ b/server/node/members.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // heardLifetime is how long a process counts as a member by its own word while
@@ -20,15 +20,15 @@
 	self string // Own instance ID, which is left out of peers.
 
 	mu       sync.Mutex
-	listed   []platform.Instance
+	listed   []ports.Instance
 	listedAt time.Time
 	heard    map[string]heardInstance // By instance ID.
-	joined   []platform.Instance      // Never modified; nil after a change.
+	joined   []ports.Instance         // Never modified; nil after a change.
 }
 
 // heardInstance is what a process said of itself.
 type heardInstance struct {
-	instance platform.Instance
+	instance ports.Instance
 	at       time.Time
 }
 
@@ -36,7 +36,7 @@
 	return &members{self: self, heard: map[string]heardInstance{}}
 }
 
-func (m *members) setListed(list []platform.Instance, now time.Time) {
+func (m *members) setListed(list []ports.Instance, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed, m.listedAt, m.joined = list, now, nil
@@ -51,7 +51,7 @@
 	}
 }
 
-func (m *members) hear(instance platform.Instance, now time.Time) {
+func (m *members) hear(instance ports.Instance, now time.Time) {
 	if instance.ID == "" || instance.Control == "" {
 		return
 	}
@@ -62,7 +62,7 @@
 }
 
 // list returns all members in order of ID. The result must not be modified.
-func (m *members) list() []platform.Instance {
+func (m *members) list() []ports.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.joined == nil {
@@ -71,8 +71,8 @@
 	return m.joined
 }
 
-func (m *members) join() []platform.Instance {
-	joined := make([]platform.Instance, 0, len(m.listed)+len(m.heard))
+func (m *members) join() []ports.Instance {
+	joined := make([]ports.Instance, 0, len(m.listed)+len(m.heard))
 	named := map[string]bool{}
 	for _, instance := range m.listed {
 		named[instance.ID] = true
@@ -88,13 +88,13 @@
 			joined = append(joined, heard.instance)
 		}
 	}
-	slices.SortFunc(joined, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(joined, func(a, b ports.Instance) int { return strings.Compare(a.ID, b.ID) })
 	return joined
 }
 
 // peers returns the other members that keep reports true.
-func (m *members) peers(keep func(platform.Instance) bool) []platform.Instance {
-	var peers []platform.Instance
+func (m *members) peers(keep func(ports.Instance) bool) []ports.Instance {
+	var peers []ports.Instance
 	for _, instance := range m.list() {
 		if instance.ID != m.self && keep(instance) {
 			peers = append(peers, instance)
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -21,8 +21,8 @@
 	"persimmonwind.dev/server/keys"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/loop"
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/rpc"
 	"persimmonwind.dev/server/wait"
 	"persimmonwind.dev/server/wire"
@@ -153,7 +153,7 @@
 
 // Instances returns the instance list as last read, joined with what other
 // processes have said of themselves.
-func (n *Node) Instances() []platform.Instance { return n.members.list() }
+func (n *Node) Instances() []ports.Instance { return n.members.list() }
 
 // Run runs the node until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -10,7 +10,7 @@
 
 	"persimmonwind.dev/policy/config"
 	"persimmonwind.dev/server/logevent"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/rpc"
 	"persimmonwind.dev/server/wire"
 )
@@ -73,9 +73,9 @@
 	}
 	pool := rpc.NewPool(clientTLS(n.options.Keys))
 	defer pool.Close()
-	peers := n.members.peers(func(platform.Instance) bool { return true })
+	peers := n.members.peers(func(ports.Instance) bool { return true })
 	var count atomic.Int64
-	forEach(peers, func(peer platform.Instance) {
+	forEach(peers, func(peer ports.Instance) {
 		ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 		defer cancel()
 		if pool.Call(ctx, peer.Control, "Peer.Offer", request, new(wire.OfferReply)) == nil {
@@ -100,8 +100,8 @@
 	defer pool.Close()
 	var mu sync.Mutex
 	reports := []wire.ReportReply{n.ownReport()}
-	peers := n.members.peers(func(platform.Instance) bool { return true })
-	forEach(peers, func(peer platform.Instance) {
+	peers := n.members.peers(func(ports.Instance) bool { return true })
+	forEach(peers, func(peer ports.Instance) {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
 		reply := new(wire.ReportReply)
@@ -182,6 +182,6 @@
 func (r *peerReceiver) Instances(request wire.InstancesRequest, reply *wire.InstancesReply) error {
 	r.node.Hear(request.Stamp)
 	reply.Stamp = r.node.Stamp()
-	reply.Instances = append([]platform.Instance{r.node.Self()}, r.node.Instances()...)
+	reply.Instances = append([]ports.Instance{r.node.Self()}, r.node.Instances()...)
 	return nil
 }
--- a/server/once/fuzz_test.go
+++ b/server/once/fuzz_test.go
@@ -25,7 +25,7 @@
 	"persimmonwind.dev/server/configstore"
 	"persimmonwind.dev/server/dev"
 	"persimmonwind.dev/server/entry"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/settings"
 	"persimmonwind.dev/server/standin/service"
 	"persimmonwind.dev/server/standin/store"
@@ -211,8 +211,8 @@
 	stand := service.New(3 * time.Millisecond)
 	b.services = append(b.services, stand)
 	listeners := agent.Listeners{Control: listen(t), Traffic: listen(t)}
-	b.store.SetInstance(platform.Instance{
-		ID: "agent-" + name, Role: platform.RoleAgent, DataCentre: dataCentre, BackendServer: name,
+	b.store.SetInstance(ports.Instance{
+		ID: "agent-" + name, Role: ports.RoleAgent, DataCentre: dataCentre, BackendServer: name,
 		Control: listeners.Control.Addr().String(), Traffic: listeners.Traffic.Addr().String(),
 	})
 	process := settings.Process{ID: "agent-" + name, DataCentre: dataCentre, Store: b.storeURL}
@@ -227,8 +227,8 @@
 	listeners := entry.Listeners{Control: listen(t), Callers: listen(t), Admin: listen(t)}
 	b.entries = append(b.entries, "http://"+listeners.Callers.Addr().String())
 	if table == b.lossy {
-		b.store.SetInstance(platform.Instance{
-			ID: id, Role: platform.RoleEntry, DataCentre: dataCentre, Control: listeners.Control.Addr().String(),
+		b.store.SetInstance(ports.Instance{
+			ID: id, Role: ports.RoleEntry, DataCentre: dataCentre, Control: listeners.Control.Addr().String(),
 		})
 	}
 	process := settings.Process{ID: id, DataCentre: dataCentre, Store: storeURL}
--- a/server/once/rows.go
+++ b/server/once/rows.go
@@ -14,7 +14,7 @@
 	"persimmonwind.dev/policy/once"
 	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/policy/result"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wait"
 )
 
@@ -27,14 +27,14 @@
 
 // Objects is the object store with removal.
 type Objects interface {
-	platform.Objects
+	ports.Objects
 	// Delete removes the object; one that does not exist is no error.
 	Delete(ctx context.Context, name string) error
 }
 
 // Rows reads and writes the rows.
 type Rows struct {
-	Table   platform.Table
+	Table   ports.Table
 	Objects Objects
 }
 
@@ -126,14 +126,14 @@
 	if err != nil {
 		return once.WriteUnknown{}
 	}
-	err = r.Table.Commit(ctx, platform.Tx{
-		Conditions: []platform.Condition{{Key: key, Version: effect.Version}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	err = r.Table.Commit(ctx, ports.Tx{
+		Conditions: []ports.Condition{{Key: key, Version: effect.Version}},
+		Writes:     []ports.Write{{Key: key, Value: value}},
 	})
 	switch {
 	case err == nil:
 		return once.WriteWon{}
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, ports.ErrConflict):
 		return once.WriteLost{}
 	}
 	return once.WriteUnknown{}
--- a/server/once/sweep.go
+++ b/server/once/sweep.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"persimmonwind.dev/policy/once"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/wait"
 )
 
@@ -89,8 +89,8 @@
 	return next, s.remove(ctx, rows, now.Add(-Retention))
 }
 
-func (s *Sweeper) remove(ctx context.Context, rows []platform.Row, before time.Time) error {
-	var tx platform.Tx
+func (s *Sweeper) remove(ctx context.Context, rows []ports.Row, before time.Time) error {
+	var tx ports.Tx
 	var objects []string
 	for _, stored := range rows {
 		row, written, err := decode(stored.Value)
@@ -100,8 +100,8 @@
 		if !written.Before(before) {
 			continue
 		}
-		tx.Conditions = append(tx.Conditions, platform.Condition{Key: stored.Key, Version: stored.Version})
-		tx.Writes = append(tx.Writes, platform.Write{Key: stored.Key, Delete: true})
+		tx.Conditions = append(tx.Conditions, ports.Condition{Key: stored.Key, Version: stored.Version})
+		tx.Writes = append(tx.Writes, ports.Write{Key: stored.Key, Delete: true})
 		if row.Answer.Object != "" {
 			objects = append(objects, row.Answer.Object)
 		}
@@ -114,7 +114,7 @@
 
 // commit removes the answers before the rows, so that none is left behind
 // without a row that names it.
-func (s *Sweeper) commit(ctx context.Context, tx platform.Tx, objects []string) error {
+func (s *Sweeper) commit(ctx context.Context, tx ports.Tx, objects []string) error {
 	for _, name := range objects {
 		if err := s.Rows.Objects.Delete(ctx, name); err != nil {
 			return fmt.Errorf("remove answer %q: %w", name, err)
--- a/server/once/sweep_test.go
+++ b/server/once/sweep_test.go
@@ -11,7 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	policy "persimmonwind.dev/policy/once"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/standin/store"
 )
 
--- a/server/platform/httpapi/client.go
+++ b/server/ports/httpapi/client.go
@@ -12,7 +12,7 @@
 	"net/http"
 	"time"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // StatusConflict is the answer to a transaction whose condition does not hold.
@@ -64,7 +64,7 @@
 func (c client) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, oneShotBody(body))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %v", ports.ErrUnavailable, err)
 	}
 	request.ContentLength = int64(len(body))
 	response, err := c.http.Do(request)
@@ -81,24 +81,24 @@
 func transportError(err error) error {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %v", ports.ErrUnavailable, err)
 	}
-	return fmt.Errorf("%w: %v", platform.ErrUnknownOutcome, err)
+	return fmt.Errorf("%w: %v", ports.ErrUnknownOutcome, err)
 }
 
 func statusError(response *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorTextBytes))
 	switch response.StatusCode {
 	case StatusConflict:
-		return platform.ErrConflict
+		return ports.ErrConflict
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return ports.ErrNotFound
 	case http.StatusConflict:
-		return platform.ErrFenced
+		return ports.ErrFenced
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return fmt.Errorf("%w: %s", platform.ErrUnavailable, text)
+		return fmt.Errorf("%w: %s", ports.ErrUnavailable, text)
 	default:
-		return fmt.Errorf("%w: status %d: %s", platform.ErrUnknownOutcome, response.StatusCode, text)
+		return fmt.Errorf("%w: status %d: %s", ports.ErrUnknownOutcome, response.StatusCode, text)
 	}
 }
 
@@ -111,7 +111,7 @@
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", platform.ErrUnknownOutcome, err)
+		return nil, fmt.Errorf("%w: %v", ports.ErrUnknownOutcome, err)
 	}
 	return answer, nil
 }
@@ -134,7 +134,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(answer, out); err != nil {
-		return fmt.Errorf("%w: malformed answer from %s: %v", platform.ErrUnknownOutcome, path, err)
+		return fmt.Errorf("%w: malformed answer from %s: %v", ports.ErrUnknownOutcome, path, err)
 	}
 	return nil
 }
--- a/server/platform/httpapi/engine.go
+++ b/server/ports/httpapi/engine.go
@@ -8,7 +8,7 @@
 	"net/url"
 	"strconv"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/stream"
 )
 
@@ -24,8 +24,8 @@
 	return "/generations/" + url.PathEscape(id) + suffix
 }
 
-// Submit implements platform.Engine.
-func (e *Engine) Submit(ctx context.Context, generation platform.Generation) (*stream.Reader, error) {
+// Submit implements ports.Engine.
+func (e *Engine) Submit(ctx context.Context, generation ports.Generation) (*stream.Reader, error) {
 	body, err := json.Marshal(generation)
 	if err != nil {
 		return nil, fmt.Errorf("encode generation %q: %w", generation.ID, err)
@@ -33,7 +33,7 @@
 	return e.open(ctx, http.MethodPost, generationPath(generation.ID, ""), body)
 }
 
-// Resume implements platform.Engine.
+// Resume implements ports.Engine.
 func (e *Engine) Resume(ctx context.Context, id string, from int) (*stream.Reader, error) {
 	return e.open(ctx, http.MethodGet, generationPath(id, "?from="+strconv.Itoa(from)), nil)
 }
@@ -46,37 +46,37 @@
 	return stream.NewReader(response.Body), nil
 }
 
-// Cancel implements platform.Engine.
+// Cancel implements ports.Engine.
 func (e *Engine) Cancel(ctx context.Context, id string) error {
 	return e.client.callJSON(ctx, http.MethodDelete, generationPath(id, ""), nil, nil)
 }
 
-// Load implements platform.Engine.
-func (e *Engine) Load(ctx context.Context) (platform.EngineLoad, error) {
-	var load platform.EngineLoad
+// Load implements ports.Engine.
+func (e *Engine) Load(ctx context.Context) (ports.EngineLoad, error) {
+	var load ports.EngineLoad
 	err := e.client.callJSON(ctx, http.MethodGet, "/load", nil, &load)
 	return load, err
 }
 
-// CacheEvents implements platform.Engine.
-func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
-	var events []platform.CacheEvent
+// CacheEvents implements ports.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]ports.CacheEvent, error) {
+	var events []ports.CacheEvent
 	path := "/cache-events?after=" + strconv.FormatUint(after, 10)
 	err := e.client.callJSON(ctx, http.MethodGet, path, nil, &events)
 	return events, err
 }
 
-// Order implements platform.Engine.
-func (e *Engine) Order(ctx context.Context, order platform.Order) error {
+// Order implements ports.Engine.
+func (e *Engine) Order(ctx context.Context, order ports.Order) error {
 	return e.client.callJSON(ctx, http.MethodPost, "/orders", order, nil)
 }
 
-// ExportKV implements platform.Engine.
+// ExportKV implements ports.Engine.
 func (e *Engine) ExportKV(ctx context.Context, id string) ([]byte, error) {
 	return e.client.call(ctx, http.MethodGet, generationPath(id, "/kv"), nil)
 }
 
-// ImportKV implements platform.Engine.
+// ImportKV implements ports.Engine.
 func (e *Engine) ImportKV(ctx context.Context, id string, state []byte) error {
 	_, err := e.client.call(ctx, http.MethodPut, generationPath(id, "/kv"), state)
 	return err
--- a/server/platform/httpapi/instances.go
+++ b/server/ports/httpapi/instances.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"sync"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // Instances is the adapter of the instance list. It asks for the list only if
@@ -18,11 +18,11 @@
 
 	mu   sync.Mutex
 	etag string // Of list; empty for none.
-	list []platform.Instance
+	list []ports.Instance
 }
 
-// List implements platform.Instances. The list must not be modified.
-func (i *Instances) List(ctx context.Context) ([]platform.Instance, error) {
+// List implements ports.Instances. The list must not be modified.
+func (i *Instances) List(ctx context.Context) ([]ports.Instance, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	response, err := i.client.getUnless(ctx, "/instances", i.etag)
@@ -33,9 +33,9 @@
 	if response.StatusCode == http.StatusNotModified {
 		return i.list, nil
 	}
-	var list []platform.Instance
+	var list []ports.Instance
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&list); err != nil {
-		return nil, fmt.Errorf("%w: malformed instance list: %v", platform.ErrUnknownOutcome, err)
+		return nil, fmt.Errorf("%w: malformed instance list: %v", ports.ErrUnknownOutcome, err)
 	}
 	i.list, i.etag = list, response.Header.Get("ETag")
 	return list, nil
@@ -46,7 +46,7 @@
 func (c client) getUnless(ctx context.Context, path, etag string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %v", ports.ErrUnavailable, err)
 	}
 	if etag != "" {
 		request.Header.Set("If-None-Match", etag)
--- a/server/platform/httpapi/instances_test.go
+++ b/server/ports/httpapi/instances_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/standin/store"
 )
 
@@ -30,17 +30,17 @@
 		}))
 		defer server.Close()
 		instances := httpapi.NewStore(server.URL, http.DefaultTransport).Instances()
-		read := func() []platform.Instance {
+		read := func() []ports.Instance {
 			list, err := instances.List(context.Background())
 			So(err, ShouldBeNil)
 			return list
 		}
 
-		standIn.SetInstance(platform.Instance{ID: "a"})
+		standIn.SetInstance(ports.Instance{ID: "a"})
 		So(read(), ShouldHaveLength, 1)
 		So(read(), ShouldHaveLength, 1)
 		So(statuses, ShouldResemble, map[int]int{http.StatusOK: 1, http.StatusNotModified: 1})
-		standIn.SetInstance(platform.Instance{ID: "a", Leaving: true})
+		standIn.SetInstance(ports.Instance{ID: "a", Leaving: true})
 		So(read()[0].Leaving, ShouldBeTrue)
 		standIn.RemoveInstance("a")
 		So(read(), ShouldBeEmpty)
--- a/server/platform/httpapi/outcome_test.go
+++ b/server/ports/httpapi/outcome_test.go
@@ -13,7 +13,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // cuttingServer takes in POST requests after the first and closes their
@@ -43,10 +43,10 @@
 		for name, body := range map[string][]byte{"a body": []byte(`{"batch":1}`), "no body": nil} {
 			Convey("a service call with "+name+" is sent once and its outcome is unknown", func() {
 				service := NewService(server.URL, transport)
-				_, err := service.Call(ctx, platform.ServiceCall{ID: "1", Service: "s", Operation: "o", Body: body})
+				_, err := service.Call(ctx, ports.ServiceCall{ID: "1", Service: "s", Operation: "o", Body: body})
 				So(err, ShouldBeNil)
-				_, err = service.Call(ctx, platform.ServiceCall{ID: "2", Service: "s", Operation: "o", Body: body})
-				So(errors.Is(err, platform.ErrUnknownOutcome), ShouldBeTrue)
+				_, err = service.Call(ctx, ports.ServiceCall{ID: "2", Service: "s", Operation: "o", Body: body})
+				So(errors.Is(err, ports.ErrUnknownOutcome), ShouldBeTrue)
 				So(taken.Load(), ShouldEqual, 2)
 			})
 		}
@@ -79,7 +79,7 @@
 		So(closed.Close(), ShouldBeNil)
 		for _, status := range []int{http.StatusSeeOther, http.StatusTemporaryRedirect} {
 			server := httptest.NewServer(http.RedirectHandler("http://"+closed.Addr().String(), status))
-			answer, err := NewService(server.URL, NewTransport()).Call(context.Background(), platform.ServiceCall{ID: "1", Service: "s", Operation: "o"})
+			answer, err := NewService(server.URL, NewTransport()).Call(context.Background(), ports.ServiceCall{ID: "1", Service: "s", Operation: "o"})
 			server.Close()
 			So(err, ShouldBeNil)
 			So(answer.Status, ShouldEqual, status)
@@ -97,23 +97,23 @@
 			w.WriteHeader(int(status.Load()))
 		}))
 		store := NewStore(server.URL, NewTransport())
-		commit := func() error { return store.Commit(context.Background(), platform.Tx{}) }
+		commit := func() error { return store.Commit(context.Background(), ports.Tx{}) }
 		defer server.Close()
 
 		Convey("an address that refuses connections is unavailable", func() {
 			server.Close()
-			So(errors.Is(commit(), platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(commit(), ports.ErrUnavailable), ShouldBeTrue)
 		})
 		Convey("a refusal by status is unavailable", func() {
 			status.Store(http.StatusServiceUnavailable)
-			So(errors.Is(commit(), platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(commit(), ports.ErrUnavailable), ShouldBeTrue)
 		})
 		Convey("a lost answer, a fault of the server and a timeout of what stands before it are unknown", func() {
 			for _, answer := range []int64{0, http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout} {
 				status.Store(answer)
 				err := commit()
-				So(errors.Is(err, platform.ErrUnknownOutcome), ShouldBeTrue)
-				So(errors.Is(err, platform.ErrUnavailable), ShouldBeFalse)
+				So(errors.Is(err, ports.ErrUnknownOutcome), ShouldBeTrue)
+				So(errors.Is(err, ports.ErrUnavailable), ShouldBeFalse)
 			}
 		})
 	})
--- a/server/platform/httpapi/ranks.go
+++ b/server/ports/httpapi/ranks.go
@@ -5,24 +5,24 @@
 	"net/http"
 
 	"persimmonwind.dev/policy/expertmap"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
-// Report implements platform.RankEngine.
-func (e *Engine) Report(ctx context.Context) (platform.RankReport, error) {
-	var report platform.RankReport
+// Report implements ports.RankEngine.
+func (e *Engine) Report(ctx context.Context) (ports.RankReport, error) {
+	var report ports.RankReport
 	err := e.client.callJSON(ctx, http.MethodGet, "/expert-map", nil, &report)
 	return report, err
 }
 
-// OrderMap implements platform.RankEngine.
-func (e *Engine) OrderMap(ctx context.Context, order platform.RankOrder) (expertmap.EngineState, error) {
+// OrderMap implements ports.RankEngine.
+func (e *Engine) OrderMap(ctx context.Context, order ports.RankOrder) (expertmap.EngineState, error) {
 	var state expertmap.EngineState
 	err := e.client.callJSON(ctx, http.MethodPost, "/expert-map/orders", order, &state)
 	return state, err
 }
 
-// Fetch implements platform.Weights.
+// Fetch implements ports.Weights.
 func (s *Store) Fetch(ctx context.Context, name string, bytes int64) error {
 	request := struct {
 		Name  string `json:"name"`
--- a/server/platform/httpapi/service.go
+++ b/server/ports/httpapi/service.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"net/url"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // HeaderRequestID binds a plain service's answer to its call.
@@ -21,34 +21,34 @@
 	return &Service{client: newClient(base, transport)}
 }
 
-// Call implements platform.Service. An HTTP status of the service is part of
+// Call implements ports.Service. An HTTP status of the service is part of
 // its answer, not an error.
-func (s *Service) Call(ctx context.Context, call platform.ServiceCall) (platform.ServiceAnswer, error) {
+func (s *Service) Call(ctx context.Context, call ports.ServiceCall) (ports.ServiceAnswer, error) {
 	path := "/" + url.PathEscape(call.Service) + "/" + url.PathEscape(call.Operation)
 	request, err := newServiceRequest(ctx, s.client.base+path, call)
 	if err != nil {
-		return platform.ServiceAnswer{}, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		return ports.ServiceAnswer{}, fmt.Errorf("%w: %v", ports.ErrUnavailable, err)
 	}
 	response, err := s.client.http.Do(request)
 	if err != nil {
-		return platform.ServiceAnswer{}, transportError(err)
+		return ports.ServiceAnswer{}, transportError(err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return platform.ServiceAnswer{}, fmt.Errorf("%w: %v", platform.ErrUnknownOutcome, err)
+		return ports.ServiceAnswer{}, fmt.Errorf("%w: %v", ports.ErrUnknownOutcome, err)
 	}
 	if id := response.Header.Get(HeaderRequestID); id != "" && id != call.ID {
-		return platform.ServiceAnswer{}, fmt.Errorf("%w: answer is for request %q, not %q", platform.ErrUnknownOutcome, id, call.ID)
+		return ports.ServiceAnswer{}, fmt.Errorf("%w: answer is for request %q, not %q", ports.ErrUnknownOutcome, id, call.ID)
 	}
-	return platform.ServiceAnswer{
+	return ports.ServiceAnswer{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
 	}, nil
 }
 
-func newServiceRequest(ctx context.Context, target string, call platform.ServiceCall) (*http.Request, error) {
+func newServiceRequest(ctx context.Context, target string, call ports.ServiceCall) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, oneShotBody(call.Body))
 	if err != nil {
 		return nil, err
--- a/server/platform/httpapi/store.go
+++ b/server/ports/httpapi/store.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"strconv"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // Store is the adapter of the table service, the object store, the instance
@@ -22,23 +22,23 @@
 	return &Store{client: c, instances: &Instances{client: c}}
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+// Get implements ports.Table.
+func (s *Store) Get(ctx context.Context, key string) (ports.Row, error) {
+	var row ports.Row
 	err := s.client.callJSON(ctx, http.MethodGet, "/table/row?key="+url.QueryEscape(key), nil, &row)
 	return row, err
 }
 
-// List implements platform.Table.
-func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements ports.Table.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]ports.Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
-	var rows []platform.Row
+	var rows []ports.Row
 	err := s.client.callJSON(ctx, http.MethodGet, "/table/list?"+query.Encode(), nil, &rows)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, tx platform.Tx) error {
+// Commit implements ports.Table.
+func (s *Store) Commit(ctx context.Context, tx ports.Tx) error {
 	return s.client.callJSON(ctx, http.MethodPost, "/table/commit", tx, nil)
 }
 
@@ -51,13 +51,13 @@
 // Objects is the adapter of the object store.
 type Objects struct{ client client }
 
-// Put implements platform.Objects.
+// Put implements ports.Objects.
 func (o *Objects) Put(ctx context.Context, name string, body []byte) error {
 	_, err := o.client.call(ctx, http.MethodPut, "/objects/"+name, body)
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements ports.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	return o.client.call(ctx, http.MethodGet, "/objects/"+name, nil)
 }
--- a/server/platform/platform.go
+++ b/server/ports/ports.go
@@ -1,8 +1,8 @@
-// Package platform declares the narrow ports to everything outside the
+// Package ports declares the narrow ports to everything outside the
 // system: the platform's table service, object store, instance list and weight
 // store, and the backend servers. Adapters implement them; the rest of the
 // system depends on this package alone.
-package platform
+package ports
 
 import (
 	"context"
--- a/server/standin/engine/cache.go
+++ b/server/standin/engine/cache.go
@@ -4,7 +4,7 @@
 	"container/list"
 
 	"persimmonwind.dev/policy/prefix"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // maxCacheEvents bounds the events kept for readers; older ones are a gap.
@@ -15,7 +15,7 @@
 	capacity int
 	order    *list.List
 	blocks   map[uint64]*list.Element
-	events   []platform.CacheEvent
+	events   []ports.CacheEvent
 	seq      uint64
 }
 
@@ -33,7 +33,7 @@
 
 func (c *blockCache) publish(block uint64, added bool) {
 	c.seq++
-	c.events = append(c.events, platform.CacheEvent{Seq: c.seq, Block: block, Added: added})
+	c.events = append(c.events, ports.CacheEvent{Seq: c.seq, Block: block, Added: added})
 	if len(c.events) > maxCacheEvents {
 		c.events = c.events[len(c.events)-maxCacheEvents:]
 	}
@@ -78,12 +78,12 @@
 }
 
 // CacheEvents returns the cache events after the sequence number.
-func (e *Engine) CacheEvents(after uint64) []platform.CacheEvent {
+func (e *Engine) CacheEvents(after uint64) []ports.CacheEvent {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for index, event := range e.cache.events {
 		if event.Seq > after {
-			return append([]platform.CacheEvent(nil), e.cache.events[index:]...)
+			return append([]ports.CacheEvent(nil), e.cache.events[index:]...)
 		}
 	}
 	return nil
--- a/server/standin/engine/engine.go
+++ b/server/standin/engine/engine.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 
 	"persimmonwind.dev/policy/prefix"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/standin/fault"
 )
 
@@ -67,9 +67,9 @@
 	stalled     bool
 	generations map[string]*generation
 	cache       *blockCache
-	reports     []platform.EngineLoad
+	reports     []ports.EngineLoad
 	fence       uint64
-	orders      []platform.Order
+	orders      []ports.Order
 
 	streamFaults StreamFaults
 	sentPieces   atomic.Int64
@@ -140,11 +140,11 @@
 }
 
 // Load returns the report about the engine as it was ReportLag ago.
-func (e *Engine) Load() platform.EngineLoad {
+func (e *Engine) Load() ports.EngineLoad {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.reports = append(e.reports, platform.EngineLoad{
+	e.reports = append(e.reports, ports.EngineLoad{
 		BootID: e.bootID, Running: e.running, Waiting: e.waiting,
 		CachedTokens: e.cache.len() * prefix.BlockTokens, Cold: e.cold, At: now,
 	})
@@ -159,11 +159,11 @@
 }
 
 // Order takes an order, checking its fencing number unless told to ignore it.
-func (e *Engine) Order(order platform.Order) error {
+func (e *Engine) Order(order ports.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if order.Fence < e.fence && !e.options.IgnoreFence {
-		return platform.ErrFenced
+		return ports.ErrFenced
 	}
 	e.fence = max(e.fence, order.Fence)
 	e.orders = append(e.orders, order)
@@ -171,10 +171,10 @@
 }
 
 // Orders returns every order taken.
-func (e *Engine) Orders() []platform.Order {
+func (e *Engine) Orders() []ports.Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]platform.Order(nil), e.orders...)
+	return append([]ports.Order(nil), e.orders...)
 }
 
 // acquire waits for a slot; it fails when the engine falls over by it.
--- a/server/standin/engine/generation.go
+++ b/server/standin/engine/generation.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/stream"
 )
 
@@ -27,7 +27,7 @@
 // generation is one answer under way; its pieces are kept so that a broken
 // stream can be resumed.
 type generation struct {
-	request platform.Generation
+	request ports.Generation
 
 	// Guarded by Engine.mu:
 	bootID   string // Boot of the engine that holds its slot.
@@ -40,7 +40,7 @@
 	err     error
 }
 
-func newGeneration(request platform.Generation) *generation {
+func newGeneration(request ports.Generation) *generation {
 	if request.MaxTokens <= 0 {
 		request.MaxTokens = defaultMaxTokens
 	}
--- a/server/standin/engine/http.go
+++ b/server/standin/engine/http.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"strconv"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/stream"
 )
 
@@ -46,7 +46,7 @@
 }
 
 func (e *Engine) serveSubmit(w http.ResponseWriter, r *http.Request) {
-	var request platform.Generation
+	var request ports.Generation
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -134,7 +134,7 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order ports.Order
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/server/standin/ranks/ranks.go
+++ b/server/standin/ranks/ranks.go
@@ -15,7 +15,7 @@
 
 	"persimmonwind.dev/policy/expertmap"
 	"persimmonwind.dev/policy/planner"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/standin/engine"
 )
 
@@ -159,7 +159,7 @@
 
 // order applies the order to the rank; false where the engine refuses its
 // fencing number.
-func (g *Group) order(i int, order platform.RankOrder) (expertmap.EngineState, bool) {
+func (g *Group) order(i int, order ports.RankOrder) (expertmap.EngineState, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := &g.ranks[i]
@@ -171,10 +171,10 @@
 	return r.state, true
 }
 
-func (g *Group) report(i int) platform.RankReport {
+func (g *Group) report(i int) ports.RankReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return platform.RankReport{State: g.ranks[i].state, Shape: g.options.Shape, Popularity: g.popularity}
+	return ports.RankReport{State: g.ranks[i].state, Shape: g.options.Shape, Popularity: g.popularity}
 }
 
 // Handler serves the ranks' HTTP interfaces under /rank/N; see package
@@ -196,14 +196,14 @@
 }
 
 func (g *Group) serveOrder(w http.ResponseWriter, r *http.Request, i int) {
-	var order platform.RankOrder
+	var order ports.RankOrder
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	state, ok := g.order(i, order)
 	if !ok {
-		http.Error(w, platform.ErrFenced.Error(), http.StatusConflict)
+		http.Error(w, ports.ErrFenced.Error(), http.StatusConflict)
 		return
 	}
 	writeJSON(w, state)
--- a/server/standin/service/service.go
+++ b/server/standin/service/service.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/uuid"
 
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/standin/fault"
 )
 
--- a/server/standin/store/http.go
+++ b/server/standin/store/http.go
@@ -9,8 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"persimmonwind.dev/server/platform"
-	"persimmonwind.dev/server/platform/httpapi"
+	"persimmonwind.dev/server/ports"
+	"persimmonwind.dev/server/ports/httpapi"
 )
 
 // Handler serves the store's HTTP interface; see package httpapi.
@@ -51,13 +51,13 @@
 }
 
 func (s *Store) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Tx
+	var tx ports.Tx
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	err := s.Commit(r.Context(), tx)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, ports.ErrConflict) {
 		http.Error(w, err.Error(), httpapi.StatusConflict)
 		return
 	}
@@ -107,7 +107,7 @@
 }
 
 func (s *Store) serveSetInstance(w http.ResponseWriter, r *http.Request) {
-	var instance platform.Instance
+	var instance ports.Instance
 	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/server/standin/store/store.go
+++ b/server/standin/store/store.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/standin/fault"
 )
 
@@ -18,9 +18,9 @@
 	weights weightRate
 
 	mu        sync.Mutex
-	rows      map[string]platform.Row
+	rows      map[string]ports.Row
 	objects   map[string][]byte
-	instances map[string]platform.Instance
+	instances map[string]ports.Instance
 	version   uint64
 	reads     int
 	writes    int
@@ -29,9 +29,9 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		rows:      map[string]platform.Row{},
+		rows:      map[string]ports.Row{},
 		objects:   map[string][]byte{},
-		instances: map[string]platform.Instance{},
+		instances: map[string]ports.Instance{},
 	}
 }
 
@@ -48,24 +48,24 @@
 	return Counts{Reads: s.reads, Writes: s.writes}
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements ports.Table.
+func (s *Store) Get(_ context.Context, key string) (ports.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	row, ok := s.rows[key]
 	if !ok {
-		return platform.Row{Key: key}, nil
+		return ports.Row{Key: key}, nil
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (s *Store) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements ports.Table.
+func (s *Store) List(_ context.Context, prefix, after string, limit int) ([]ports.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	var rows []platform.Row
+	var rows []ports.Row
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
@@ -78,14 +78,14 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(_ context.Context, tx platform.Tx) error {
+// Commit implements ports.Table.
+func (s *Store) Commit(_ context.Context, tx ports.Tx) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
 	for _, condition := range tx.Conditions {
 		if s.rows[condition.Key].Version != condition.Version {
-			return platform.ErrConflict
+			return ports.ErrConflict
 		}
 	}
 	for _, write := range tx.Writes {
@@ -94,21 +94,21 @@
 	return nil
 }
 
-func (s *Store) apply(write platform.Write) {
+func (s *Store) apply(write ports.Write) {
 	if write.Delete {
 		delete(s.rows, write.Key)
 		return
 	}
 	s.version++
-	s.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: s.version}
+	s.rows[write.Key] = ports.Row{Key: write.Key, Value: write.Value, Version: s.version}
 }
 
 // ObjectStore returns the store's object store.
-func (s *Store) ObjectStore() platform.Objects { return objectStore{store: s} }
+func (s *Store) ObjectStore() ports.Objects { return objectStore{store: s} }
 
 type objectStore struct{ store *Store }
 
-// Put implements platform.Objects.
+// Put implements ports.Objects.
 func (o objectStore) Put(_ context.Context, name string, body []byte) error {
 	o.store.mu.Lock()
 	defer o.store.mu.Unlock()
@@ -116,19 +116,19 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements ports.Objects.
 func (o objectStore) Get(_ context.Context, name string) ([]byte, error) {
 	o.store.mu.Lock()
 	defer o.store.mu.Unlock()
 	body, ok := o.store.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, ports.ErrNotFound
 	}
 	return body, nil
 }
 
 // SetInstance adds or replaces a line of the instance list.
-func (s *Store) SetInstance(instance platform.Instance) {
+func (s *Store) SetInstance(instance ports.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instances[instance.ID] = instance
@@ -142,10 +142,10 @@
 }
 
 // Instances returns the instance list in order of ID.
-func (s *Store) Instances() []platform.Instance {
+func (s *Store) Instances() []ports.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]platform.Instance, 0, len(s.instances))
+	list := make([]ports.Instance, 0, len(s.instances))
 	for _, instance := range s.instances {
 		list = append(list, instance)
 	}
--- a/server/wire/configuration.go
+++ b/server/wire/configuration.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"persimmonwind.dev/policy/config"
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // ExchangeRequest tells a peer the sender's revision and where it listens, and
 // asks for the peer's evidence.
 type ExchangeRequest struct {
 	Stamp    Stamp
-	Instance platform.Instance
+	Instance ports.Instance
 }
 
 // ExchangeReply answers ExchangeRequest.
@@ -57,7 +57,7 @@
 // ReportReply answers ReportRequest.
 type ReportReply struct {
 	Stamp    Stamp
-	Instance platform.Instance
+	Instance ports.Instance
 	Versions map[string]config.FileVersion // In force, by file.
 	Current  bool
 	Age      time.Duration // Since the revision was known to be the newest.
@@ -69,5 +69,5 @@
 // InstancesReply answers InstancesRequest.
 type InstancesReply struct {
 	Stamp     Stamp
-	Instances []platform.Instance
+	Instances []ports.Instance
 }
--- a/server/wire/configuration_test.go
+++ b/server/wire/configuration_test.go
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"persimmonwind.dev/server/platform"
+	"persimmonwind.dev/server/ports"
 )
 
 // BenchmarkExchange reports the bytes of an exchange on a connection that has
 // carried one before, without those of TLS and TCP.
 func BenchmarkExchange(b *testing.B) {
-	stamp := Stamp{From: "agent-engine-1234", Role: platform.RoleAgent, DataCentre: "dc-bratislava-1", Revision: 1_000_000}
-	request := ExchangeRequest{Stamp: stamp, Instance: platform.Instance{
+	stamp := Stamp{From: "agent-engine-1234", Role: ports.RoleAgent, DataCentre: "dc-bratislava-1", Revision: 1_000_000}
+	request := ExchangeRequest{Stamp: stamp, Instance: ports.Instance{
 		ID: stamp.From, Role: stamp.Role, DataCentre: stamp.DataCentre, BackendServer: "engine-1234",
 		Control: "10.101.102.103:12345", Traffic: "10.101.102.103:12346",
 	}}
