--- /dev/null
+++ b/policy/hotexperts/hotexperts.go
@@ -0,0 +1,311 @@
+// Package hotexperts plans the expert map of a group whose demand jumps every
+// few seconds: hot experts get more replicas, a few at a time, so that each
+// small change is in force before demand jumps again.
+//
+// All ranks advance in lock-step and every set of layers waits for its most
+// loaded rank, so the cost of a map is the load of the most loaded rank, summed
+// over sets. A replicated expert's load is spread evenly over its replicas.
+package hotexperts
+
+import "math"
+
+const (
+	// unevenness is the power of a rank's load in the cost that the search
+	// lowers. A high power approaches the most loaded rank alone but still
+	// prefers to lower the second most loaded one where several are level.
+	unevenness = 8
+	// minGain is the share of a set's cost that a copy must save. A copy slows
+	// the passes of the whole group while it lasts, and it is priced.
+	minGain = 0.02
+)
+
+// Shape is the size of a group.
+type Shape struct {
+	Ranks     int
+	Places    int // Experts that a rank holds in each set at most.
+	Experts   int // In each set.
+	NewPerSet int // Experts that one change may bring to a rank in each set.
+}
+
+// Map places experts: by set and rank.
+type Map = [][][]int
+
+// Plan is a map with what it is expected to bring.
+type Plan struct {
+	Map        Map
+	Copies     int // Experts copied, over all ranks.
+	MostCopies int // By one rank.
+	SkewBefore float64
+	SkewAfter  float64
+}
+
+// Decide improves the current map for the load by set and expert. No rank
+// copies more than budget experts. The current map is not changed.
+func Decide(shape Shape, current Map, load [][]float64, budget int) Plan {
+	plan := Plan{SkewBefore: Skew(shape, current, load)}
+	sets := make([]*search, len(current))
+	for set := range current {
+		sets[set] = newSearch(shape, current[set], load[set])
+	}
+	copies := make([]int, shape.Ranks)
+	for {
+		chosen := pickSet(sets, copies, budget)
+		if chosen == nil {
+			break
+		}
+		copies[chosen.next.rank]++
+		plan.Copies++
+		chosen.apply(chosen.next)
+	}
+	for _, s := range sets {
+		plan.Map = append(plan.Map, s.held)
+	}
+	for _, count := range copies {
+		plan.MostCopies = max(plan.MostCopies, count)
+	}
+	plan.SkewAfter = Skew(shape, plan.Map, load)
+	return plan
+}
+
+// pickSet returns the set whose next step gains most, nil where none is left.
+func pickSet(sets []*search, copies []int, budget int) *search {
+	var chosen *search
+	for _, s := range sets {
+		s.findNext(copies, budget)
+		if s.found && (chosen == nil || s.next.gain > chosen.next.gain) {
+			chosen = s
+		}
+	}
+	return chosen
+}
+
+// Skew returns the load of the most loaded rank, summed over sets, divided by
+// the mean load of ranks.
+func Skew(shape Shape, placement Map, load [][]float64) float64 {
+	var most, mean float64
+	for set := range placement {
+		s := newSearch(shape, placement[set], load[set])
+		highest := 0.0
+		for _, l := range s.loads {
+			highest = max(highest, l)
+			mean += l / float64(shape.Ranks)
+		}
+		most += highest
+	}
+	if mean == 0 {
+		return 1
+	}
+	return most / mean
+}
+
+// search improves the placement of one set.
+type search struct {
+	shape   Shape
+	load    []float64
+	held    [][]int // Experts by rank.
+	holders [][]int // Ranks by expert.
+	fresh   []int   // Copies of this change by rank.
+	loads   []float64
+	mean    float64
+	cost    float64
+	next    step // The best step of the placement as it is.
+	found   bool // next is worth its copy.
+	current bool // next belongs to the placement as it is.
+}
+
+// step copies an expert to a rank, in place of the victim or, where that is
+// negative, to an empty place.
+type step struct {
+	expert, rank, victim int
+	gain                 float64
+}
+
+func newSearch(shape Shape, placement [][]int, load []float64) *search {
+	s := &search{
+		shape: shape, load: load,
+		held: make([][]int, shape.Ranks), holders: make([][]int, shape.Experts),
+		fresh: make([]int, shape.Ranks), loads: make([]float64, shape.Ranks),
+	}
+	for rank, experts := range placement {
+		s.held[rank] = append([]int(nil), experts...)
+		for _, expert := range experts {
+			s.holders[expert] = append(s.holders[expert], rank)
+		}
+	}
+	for expert, ranks := range s.holders {
+		for _, rank := range ranks {
+			s.loads[rank] += load[expert] / float64(len(ranks))
+		}
+	}
+	for _, l := range s.loads {
+		s.mean += l / float64(shape.Ranks)
+	}
+	s.cost = s.costOf()
+	return s
+}
+
+// term is a rank's part of the cost.
+func (s *search) term(load float64) float64 {
+	if s.mean == 0 {
+		return 0
+	}
+	x := load / s.mean
+	x *= x
+	x *= x
+	return x * x
+}
+
+func (s *search) costOf() float64 {
+	total := 0.0
+	for _, l := range s.loads {
+		total += s.term(l)
+	}
+	return total
+}
+
+// findNext finds the best step again if the placement has changed or the step's
+// rank has used up its budget.
+func (s *search) findNext(copies []int, budget int) {
+	if s.current && (!s.found || copies[s.next.rank] < budget) {
+		return
+	}
+	s.next, s.found = s.best(copies, budget)
+	s.current = true
+}
+
+// best returns the copy that lowers the cost most: an expert of the most loaded
+// rank to another rank with budget left.
+func (s *search) best(copies []int, budget int) (step, bool) {
+	var best step
+	hottest := s.hottest()
+	for _, expert := range s.held[hottest] {
+		if s.load[expert] == 0 {
+			continue
+		}
+		for rank := range s.shape.Ranks {
+			if copies[rank] >= budget || s.fresh[rank] >= s.shape.NewPerSet || s.holds(rank, expert) {
+				continue
+			}
+			s.consider(&best, expert, rank)
+		}
+	}
+	return best, best.gain > 0 && s.relative(best.gain) >= minGain
+}
+
+// relative is the share of the set's most loaded rank that a gain stands for.
+func (s *search) relative(gain float64) float64 {
+	if s.cost <= 0 {
+		return 0
+	}
+	return 1 - math.Pow(max(0, 1-gain/s.cost), 1.0/unevenness)
+}
+
+func (s *search) consider(best *step, expert, rank int) {
+	if len(s.held[rank]) < s.shape.Places {
+		s.offer(best, step{expert: expert, rank: rank, victim: -1})
+	}
+	for _, victim := range s.held[rank] {
+		if len(s.holders[victim]) > 1 {
+			s.offer(best, step{expert: expert, rank: rank, victim: victim})
+		}
+	}
+}
+
+func (s *search) offer(best *step, candidate step) {
+	candidate.gain = s.gain(candidate)
+	if candidate.gain > best.gain {
+		*best = candidate
+	}
+}
+
+// gain returns by how much the step lowers the cost.
+func (s *search) gain(candidate step) float64 {
+	before := len(s.holders[candidate.expert])
+	load := s.load[candidate.expert]
+	shed := load/float64(before) - load/float64(before+1)
+	gain := 0.0
+	arriving := load / float64(before+1)
+	taken, left := 0.0, 0.0
+	var victims []int
+	if candidate.victim >= 0 {
+		victims = s.holders[candidate.victim]
+		n := float64(len(victims))
+		left = s.load[candidate.victim] / n
+		taken = s.load[candidate.victim]/(n-1) - left
+	}
+	change := func(rank int, delta float64) float64 {
+		return s.term(s.loads[rank]) - s.term(s.loads[rank]+delta)
+	}
+	for _, holder := range s.holders[candidate.expert] {
+		delta := -shed
+		if candidate.victim >= 0 && holder != candidate.rank && s.holds(holder, candidate.victim) {
+			delta += taken
+		}
+		gain += change(holder, delta)
+	}
+	for _, holder := range victims {
+		if holder == candidate.rank || s.holds(holder, candidate.expert) {
+			continue
+		}
+		gain += change(holder, taken)
+	}
+	return gain + change(candidate.rank, arriving-left)
+}
+
+func (s *search) apply(chosen step) {
+	s.current = false
+	if chosen.victim >= 0 {
+		s.release(chosen.victim, chosen.rank)
+	}
+	before := float64(len(s.holders[chosen.expert]))
+	load := s.load[chosen.expert]
+	for _, holder := range s.holders[chosen.expert] {
+		s.loads[holder] -= load/before - load/(before+1)
+	}
+	s.loads[chosen.rank] += load / (before + 1)
+	s.held[chosen.rank] = append(s.held[chosen.rank], chosen.expert)
+	s.holders[chosen.expert] = append(s.holders[chosen.expert], chosen.rank)
+	s.fresh[chosen.rank]++
+	s.cost = s.costOf()
+}
+
+// release takes a replica away; the expert's other holders take its load.
+func (s *search) release(expert, rank int) {
+	n := float64(len(s.holders[expert]))
+	load := s.load[expert]
+	s.loads[rank] -= load / n
+	s.holders[expert] = without(s.holders[expert], rank)
+	s.held[rank] = without(s.held[rank], expert)
+	for _, holder := range s.holders[expert] {
+		s.loads[holder] += load/(n-1) - load/n
+	}
+}
+
+func (s *search) hottest() int {
+	hottest := 0
+	for rank, l := range s.loads {
+		if l > s.loads[hottest] {
+			hottest = rank
+		}
+	}
+	return hottest
+}
+
+func (s *search) holds(rank, expert int) bool {
+	for _, held := range s.held[rank] {
+		if held == expert {
+			return true
+		}
+	}
+	return false
+}
+
+func without(list []int, value int) []int {
+	kept := make([]int, 0, len(list))
+	for _, v := range list {
+		if v != value {
+			kept = append(kept, v)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/policy/mapswitch/mapswitch.go
@@ -0,0 +1,427 @@
+// Package mapswitch reduces the coordination of one group's expert map: every
+// rank copies the next version, a hold keeps the group from beginning a pass
+// until all ranks are armed for it, and the group switches as one.
+//
+// Invariant: no pass begins while two ranks have different maps. Orders may be
+// lost, or be carried out seconds later, after newer ones; nothing is concluded
+// from silence, only from ranks' own reports.
+//
+//   - The hold is released only when every rank of the epoch has reported that
+//     it is armed for the same version and pass, or when no rank is armed and no
+//     order to arm for that pass can still take effect.
+//   - Nothing is disarmed, so a report of any age that shows a rank armed holds
+//     until the pass begins.
+//   - Versions grow with the lease's number, so that no version ever has two
+//     contents.
+package mapswitch
+
+import (
+	"time"
+
+	"persimmonwind.dev/policy/reduce"
+	"persimmonwind.dev/policy/topology"
+)
+
+const (
+	// passLead is how many passes ahead of the last known one the hold is put:
+	// the orders take a few ms, a pass 30 ms or more.
+	passLead = 2
+	// resendAfter is how long an order that shows no effect is waited for;
+	// engines on the same machine answer within a few ms.
+	resendAfter = 40 * time.Millisecond
+	// prepareLimit is how long ranks may copy before the version is given up; a
+	// change brings each rank a few experts of about 0.1 s each.
+	prepareLimit = 4 * time.Second
+	// versionsPerFence is the number of versions that one lease can make.
+	versionsPerFence = 1 << 20
+)
+
+// Phase is where a change of the map stands.
+type Phase int
+
+// The phases.
+const (
+	Survey    Phase = iota // Not all ranks have been read in this epoch.
+	Idle                   // No change is under way.
+	Preparing              // Ranks copy the next version.
+	Holding                // The hold is being put.
+	Arming                 // Ranks are being armed; the group may rest.
+	Releasing              // The hold is being released.
+	Settling               // The group has not begun the pass yet.
+	Fencing                // A predecessor's hold is made harmless before its release.
+)
+
+// String returns the phase's name for logs.
+func (p Phase) String() string {
+	return [...]string{"survey", "idle", "preparing", "holding", "arming", "releasing", "settling", "fencing"}[p]
+}
+
+// Map places experts: by set and rank.
+type Map = [][][]int
+
+// State is what a coordinator knows of its group.
+type State struct {
+	Fence uint64 // Number of the lease.
+	Epoch int64
+	Size  int // Ranks of the group in this epoch.
+	Ranks map[int]Rank
+
+	Phase    Phase
+	Since    time.Time // Of the phase.
+	Version  int64     // Being put in force, or in force.
+	Next     Map       // Content of Version while it is put in force.
+	Current  Map       // In use; nil while unknown.
+	HoldRank int
+	HoldPass int64
+
+	made int64 // Versions made under this lease.
+}
+
+// Rank is a rank as last reported.
+type Rank struct {
+	State   topology.RankState
+	Lists   topology.RankLists // Of State.MapVersion where the versions agree.
+	AskedAt time.Time          // When the report was asked for.
+	OrderAt time.Time          // When the last order was given.
+}
+
+// New returns the state of a coordinator that has just taken the lease. It puts
+// its holds at the rank beside it.
+func New(fence uint64, ownRank int) State {
+	return State{Fence: fence, HoldRank: ownRank, Ranks: map[int]Rank{}}
+}
+
+// RankRead brings a rank's own report, and its lists where they were read.
+type RankRead struct {
+	State topology.RankState
+	Lists topology.RankLists
+	// Asked is when the report was asked for; an older one that arrives late is
+	// ignored.
+	Asked time.Time
+}
+
+// EventName implements reduce.Event.
+func (RankRead) EventName() string { return "mapswitch.rank_read" }
+
+// Planned brings the next map.
+type Planned struct {
+	Epoch int64
+	Map   Map
+}
+
+// EventName implements reduce.Event.
+func (Planned) EventName() string { return "mapswitch.planned" }
+
+// Give asks to give the order to the rank; the rank is read after it.
+type Give struct {
+	Rank  int
+	Order topology.Order
+}
+
+// EffectName implements reduce.Effect.
+func (Give) EffectName() string { return "mapswitch.give" }
+
+// Moved reports a change of phase, for the log.
+type Moved struct {
+	From, To Phase
+	Epoch    int64
+	Version  int64
+	Pass     int64
+	After    time.Duration // In the phase before.
+	Reason   string
+}
+
+// EffectName implements reduce.Effect.
+func (Moved) EffectName() string { return "mapswitch.moved" }
+
+// Step reduces one input. The maps inside the state are its own.
+func Step(s State, input reduce.Input) (State, []reduce.Effect) {
+	var effects []reduce.Effect
+	switch event := input.Event.(type) {
+	case RankRead:
+		s, effects = s.read(event, input.Now)
+	case Planned:
+		if s.Phase == Idle && event.Epoch == s.Epoch {
+			s.Next = event.Map
+			s.Version = s.nextVersion()
+			s, effects = s.move(Preparing, "planned", input.Now)
+		}
+	}
+	s, more := s.advance(input.Now)
+	return s, append(effects, more...)
+}
+
+// read takes in a report. A new epoch makes all that is known of ranks void.
+func (s State) read(event RankRead, now time.Time) (State, []reduce.Effect) {
+	state := event.State
+	var effects []reduce.Effect
+	if state.Epoch < s.Epoch {
+		return s, nil
+	}
+	if state.Epoch > s.Epoch || state.Size != s.Size {
+		s.Epoch, s.Size = state.Epoch, state.Size
+		s.Ranks = map[int]Rank{}
+		s.Current, s.Next = nil, nil
+		s, effects = s.move(Survey, "new epoch", now)
+	}
+	rank := s.Ranks[state.Rank]
+	if event.Asked.Before(rank.AskedAt) {
+		return s, effects
+	}
+	rank.State, rank.AskedAt = state, event.Asked
+	if event.Lists.Experts != nil && event.Lists.MapVersion == state.MapVersion {
+		rank.Lists = event.Lists
+	}
+	s.Ranks[state.Rank] = rank
+	return s, effects
+}
+
+// advance moves through the phases as far as the reports allow and gives the
+// orders that the phase asks for.
+func (s State) advance(now time.Time) (State, []reduce.Effect) {
+	var effects []reduce.Effect
+	for {
+		next, moved, orders := s.step(now)
+		effects = append(effects, moved...)
+		effects = append(effects, orders...)
+		if next.Phase == s.Phase {
+			return next, effects
+		}
+		s = next
+	}
+}
+
+func (s State) step(now time.Time) (next State, moved, orders []reduce.Effect) {
+	if !s.complete() {
+		return s, nil, nil
+	}
+	switch s.Phase {
+	case Survey:
+		s, moved = s.survey(now)
+	case Idle:
+		// A hold of this lease whose order took effect late; nothing is armed for
+		// its pass, since that pass was given up or is over.
+		s, orders = s.releaseStray(now)
+	case Preparing:
+		s, moved, orders = s.prepare(now)
+		var strays []reduce.Effect
+		s, strays = s.releaseStray(now)
+		orders = append(orders, strays...)
+	case Holding:
+		s, moved, orders = s.hold(now)
+	case Arming:
+		s, moved, orders = s.arm(now)
+	case Releasing:
+		s, moved, orders = s.release(now)
+	case Settling:
+		// A hold that took effect late is released again: all ranks are armed.
+		s, orders = s.releaseStray(now)
+		s, moved = s.settle(now)
+	case Fencing:
+		s, moved, orders = s.fence(now)
+	}
+	return s, moved, orders
+}
+
+// complete reports whether every rank of the epoch has been read.
+func (s State) complete() bool { return s.Size > 0 && len(s.Ranks) == s.Size }
+
+// survey finds out where a predecessor, or an earlier epoch, has left the
+// group.
+func (s State) survey(now time.Time) (State, []reduce.Effect) {
+	held, armed := -1, -1
+	for id, rank := range s.Ranks {
+		if rank.State.HeldPass != 0 {
+			held = id
+		}
+		if rank.State.Armed != 0 {
+			armed = id
+		}
+	}
+	switch {
+	case armed >= 0:
+		s.Version, s.HoldPass = s.Ranks[armed].State.Armed, s.Ranks[armed].State.ArmedPass
+		s.Next = nil
+		return s.move(Arming, "a predecessor has armed a rank", now)
+	case held >= 0:
+		current, ok := s.lists()
+		if !ok {
+			return s, nil
+		}
+		s.HoldPass = s.Ranks[held].State.HeldPass
+		s.Version, s.Next = s.nextVersion(), current
+		return s.move(Fencing, "a predecessor has left a hold", now)
+	}
+	current, ok := s.lists()
+	if !ok {
+		return s, nil
+	}
+	s.Current = current
+	return s.move(Idle, "all ranks read", now)
+}
+
+// lists puts the map in use together from the ranks' lists.
+func (s State) lists() (Map, bool) {
+	var current Map
+	for id := range s.Size {
+		rank := s.Ranks[id]
+		if rank.Lists.Experts == nil || rank.Lists.MapVersion != rank.State.MapVersion || rank.State.MapVersion != s.Ranks[0].State.MapVersion {
+			return nil, false
+		}
+		if current == nil {
+			current = make(Map, len(rank.Lists.Experts))
+		}
+		for set, experts := range rank.Lists.Experts {
+			current[set] = append(current[set], experts)
+		}
+	}
+	return current, true
+}
+
+// NeedsLists reports whether the ranks' lists must be read.
+func (s State) NeedsLists() bool { return s.Phase == Survey }
+
+func (s State) prepare(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	if now.Sub(s.Since) > prepareLimit {
+		s, moved := s.move(Survey, "ranks did not copy in time", now)
+		return s, moved, nil
+	}
+	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version }) {
+		s.HoldPass = s.lastPass() + passLead
+		s, moved := s.move(Holding, "all ranks prepared", now)
+		return s, moved, nil
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
+		func(r Rank) bool { return r.State.Prepared != s.Version && !r.State.OrderRunning })
+}
+
+func (s State) hold(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	holder := s.Ranks[s.HoldRank]
+	switch {
+	case holder.State.HeldPass == s.HoldPass:
+		s, moved := s.move(Arming, "hold is in place", now)
+		return s, moved, nil
+	case holder.State.HeldPass != 0:
+		// An earlier hold of this lease took effect late; no rank was armed for it.
+		return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: holder.State.HeldPass}, s.only(s.HoldRank))
+	case s.lastPass() >= s.HoldPass:
+		s.HoldPass = s.lastPass() + passLead
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
+}
+
+func (s State) arm(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	armed := func(r Rank) bool {
+		return r.State.MapVersion == s.Version || r.State.Armed == s.Version && r.State.ArmedPass == s.HoldPass
+	}
+	if s.all(armed) {
+		s, moved := s.move(Releasing, "all ranks armed", now)
+		return s, moved, nil
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Arm, Version: s.Version, Pass: s.HoldPass},
+		func(r Rank) bool { return !armed(r) })
+}
+
+func (s State) release(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	if s.all(func(r Rank) bool { return r.State.HeldPass == 0 }) {
+		s, moved := s.move(Settling, "released", now)
+		return s, moved, nil
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: s.HoldPass},
+		func(r Rank) bool { return r.State.HeldPass != 0 })
+}
+
+// settle waits until the group has begun the pass; an idle group has none.
+func (s State) settle(now time.Time) (State, []reduce.Effect) {
+	if !s.all(func(r Rank) bool { return r.State.MapVersion == s.Version && r.State.Armed == 0 }) {
+		return s, nil
+	}
+	if s.Next == nil {
+		return s.move(Survey, "a predecessor's change is in force", now)
+	}
+	s.Current, s.Next = s.Next, nil
+	return s.move(Idle, "in force", now)
+}
+
+// fence prepares a new version at all ranks: a predecessor's order to arm for
+// the held pass then names a version that is no longer prepared.
+func (s State) fence(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version && r.State.Armed == 0 }) {
+		s.Current, s.Next = s.Next, nil
+		s, moved := s.move(Idle, "predecessor's orders are void", now) // The hold is released there.
+		return s, moved, nil
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
+		func(r Rank) bool { return r.State.Prepared != s.Version && !r.State.OrderRunning })
+}
+
+// releaseStray releases holds whose order took effect late.
+func (s State) releaseStray(now time.Time) (State, []reduce.Effect) {
+	var effects []reduce.Effect
+	for id, rank := range s.Ranks {
+		if rank.State.HeldPass == 0 {
+			continue
+		}
+		effects = append(effects, s.order(now, topology.Order{Kind: topology.Release, Pass: rank.State.HeldPass}, s.only(id))...)
+	}
+	return s, effects
+}
+
+// order gives the order to all ranks that need it and have not been given one
+// a moment ago.
+func (s State) order(now time.Time, order topology.Order, needs func(Rank) bool) []reduce.Effect {
+	order.Epoch, order.Fence = s.Epoch, s.Fence
+	var effects []reduce.Effect
+	for id := range s.Size {
+		rank := s.Ranks[id]
+		if !needs(rank) || now.Sub(rank.OrderAt) < resendAfter {
+			continue
+		}
+		rank.OrderAt = now
+		s.Ranks[id] = rank
+		effects = append(effects, Give{Rank: id, Order: order})
+	}
+	return effects
+}
+
+func (s State) only(id int) func(Rank) bool {
+	return func(r Rank) bool { return r.State.Rank == id }
+}
+
+func (s State) all(holds func(Rank) bool) bool {
+	for _, rank := range s.Ranks {
+		if !holds(rank) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s State) lastPass() int64 {
+	var last int64
+	for _, rank := range s.Ranks {
+		last = max(last, rank.State.Pass)
+	}
+	return last
+}
+
+// nextVersion returns a version above all that any rank has shown.
+func (s *State) nextVersion() int64 {
+	s.made++
+	version := int64(s.Fence)*versionsPerFence + s.made
+	for _, rank := range s.Ranks {
+		version = max(version, rank.State.MapVersion+1, rank.State.Prepared+1)
+	}
+	return version
+}
+
+// move enters a phase; orders of the phase before don't delay its own.
+func (s State) move(to Phase, reason string, now time.Time) (State, []reduce.Effect) {
+	effect := Moved{From: s.Phase, To: to, Epoch: s.Epoch, Version: s.Version, Pass: s.HoldPass, After: now.Sub(s.Since), Reason: reason}
+	s.Phase, s.Since = to, now
+	for id, rank := range s.Ranks {
+		rank.OrderAt = time.Time{}
+		s.Ranks[id] = rank
+	}
+	return s, []reduce.Effect{effect}
+}
--- a/policy/topology/snapshot.go
+++ b/policy/topology/snapshot.go
@@ -14,6 +14,7 @@
 	routesByHost map[string][]*Route // Longest prefix first.
 	byKey        map[string]*Organisation
 	servers      map[string][]Candidate // Usable ones by service, in order of their id.
+	listed       map[string][]Server    // All by service, in order of their id.
 	usable       map[string]bool        // Ids of usable servers.
 }
 
@@ -33,7 +34,7 @@
 	snapshot := &Snapshot{
 		Config:  s.Config,
 		Ready:   s.Config != nil && s.ServersListed,
-		servers: map[string][]Candidate{}, usable: map[string]bool{},
+		servers: map[string][]Candidate{}, usable: map[string]bool{}, listed: map[string][]Server{},
 	}
 	if previous != nil && previous.Config == s.Config {
 		snapshot.routesByHost, snapshot.byKey = previous.routesByHost, previous.byKey
@@ -41,18 +42,22 @@
 		snapshot.index()
 	}
 	for id, server := range s.Servers {
+		service := server.Server.Service
+		snapshot.listed[service] = append(snapshot.listed[service], server.Server)
 		if server.Server.Leaving || s.TakenOut[server.Server.DataCentre] {
 			continue
 		}
 		snapshot.usable[id] = true
-		name := server.Server.Service
-		snapshot.servers[name] = append(snapshot.servers[name], Candidate{
+		snapshot.servers[service] = append(snapshot.servers[service], Candidate{
 			Server: server.Server, ColdUntil: server.ColdUntil, Unlisted: !server.VanishAt.IsZero(),
 		})
 	}
 	for _, list := range snapshot.servers {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
+	for _, list := range snapshot.listed {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
 	return snapshot
 }
 
@@ -106,6 +111,10 @@
 // not change the slice.
 func (s *Snapshot) Candidates(service string) []Candidate { return s.servers[service] }
 
+// Listed returns all servers of the service, also those that get no new work.
+// The caller must not change the slice.
+func (s *Snapshot) Listed(service string) []Server { return s.listed[service] }
+
 // Usable reports whether the server may get new work.
 func (s *Snapshot) Usable(id string) bool { return s.usable[id] }
 
--- a/server/deployed/agent.go
+++ b/server/deployed/agent.go
@@ -2,29 +2,110 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
 
 	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"persimmonwind.dev/platform"
+	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/server/loadreport"
 	"persimmonwind.dev/server/logevent"
+	"persimmonwind.dev/server/mapcontrol"
+	"persimmonwind.dev/server/upstream"
 )
 
 // Agent is the process beside one rank of a model group.
 type Agent struct {
 	settings platform.Settings
 	log      *logrus.Entry
+	registry *prometheus.Registry
+	follower *follower
 }
 
 // NewAgent returns an agent that has not started.
 func NewAgent(settings platform.Settings, log *logrus.Entry) *Agent {
-	return &Agent{settings: settings, log: log}
+	a := &Agent{settings: settings, log: log, registry: newRegistry()}
+	a.follower = newFollower(settings, log, func(*topology.Snapshot) {})
+	return a
 }
 
 // Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context, metricsPort int) error {
+	peer := net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.PeerPortFirst))
+	calls, callsErr := net.Listen("tcp", peer)
+	reports, reportsErr := net.ListenPacket("udp", peer)
+	metrics, metricsErr := net.Listen("tcp", net.JoinHostPort(a.settings.IP, strconv.Itoa(metricsPort)))
+	if err := errors.Join(callsErr, reportsErr, metricsErr); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	engine := platform.NewEngine(a.settings.BackendServer, upstream.Dial)
+	maps := &mapcontrol.Agent{
+		Self: a.settings.Instance, Engine: engine, Store: a.follower.store,
+		Direct:  func(address string) mapcontrol.Engine { return platform.NewEngine(address, upstream.Dial) },
+		Members: a.members, Model: a.model, Log: a.log, Metrics: mapcontrol.NewMetrics(a.registry),
+	}
+	maps.Prepare()
+	publisher := loadreport.NewPublisher(reports)
+	read := func() (topology.RankState, bool) {
+		state, err := engine.Report(ctx)
+		return state, err == nil
+	}
+
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	var group run.Group
-	group.Add(func() error { <-ctx.Done(); return nil }, func(error) {})
-	logevent.Write(a.log, logevent.ProcessReady, logrus.Fields{"metrics_port": metricsPort})
+	group.Add(func() error { return a.follower.run(ctx) }, func(error) { stop() })
+	group.Add(func() error { return maps.Serve(calls) }, closer(calls))
+	group.Add(publisher.Serve, closer(reports))
+	group.Add(func() error { publisher.Run(ctx, a.settings.BackendServer, read); return nil }, func(error) { stop() })
+	group.Add(func() error { maps.Run(ctx); return nil }, func(error) { stop() })
+	addServer(&group, &http.Server{Handler: metricsHandler(a.registry), ErrorLog: serverLog(a.log)}, metrics)
+	logevent.Write(a.log, logevent.ProcessReady, logrus.Fields{"peer": peer, "metrics_port": metricsPort})
 	return group.Run()
 }
+
+// members returns the backend servers of the own service with their agents.
+func (a *Agent) members() []mapcontrol.Member {
+	snapshot := a.follower.snapshot()
+	if snapshot == nil {
+		return nil
+	}
+	var members []mapcontrol.Member
+	for _, server := range snapshot.Listed(a.settings.Service) {
+		members = append(members, mapcontrol.Member{
+			Server: server.Address, Agent: agentAddress(server.Address, a.settings.PeerPortFirst),
+		})
+	}
+	return members
+}
+
+// model returns the cost model of the own service's engines, nil while unknown.
+func (a *Agent) model() *topology.Engine {
+	snapshot := a.follower.snapshot()
+	if snapshot == nil || snapshot.Config == nil {
+		return nil
+	}
+	return snapshot.Service(a.settings.Service).Engine
+}
+
+// agentAddress returns where the agent beside a backend server listens: on the
+// same machine, at the port that is the same everywhere.
+func agentAddress(server string, port int) string {
+	host, _, err := net.SplitHostPort(server)
+	if err != nil {
+		host = server
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+// closer returns an interrupt that closes a listener or socket; its actor ends
+// by that, whatever closing returns.
+func closer(c interface{ Close() error }) func(error) {
+	return func(error) { _ = c.Close() }
+}
--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -16,6 +16,7 @@
 
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/server/gateway"
+	"persimmonwind.dev/server/loadreport"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/wait"
 )
@@ -66,6 +67,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
+	reports, err := net.ListenPacket("udp", net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPortFirst)))
+	if err != nil {
+		return fmt.Errorf("listen for load reports: %w", err)
+	}
+	subscriber := loadreport.NewSubscriber(reports)
 	callers := &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: serverLog(e.log),
@@ -81,10 +87,30 @@
 	addServer(&group, &http.Server{Handler: metricsHandler(e.registry), ErrorLog: serverLog(e.log)}, metrics)
 	group.Add(func() error { return e.follower.run(control) }, func(error) { stopControl() })
 	group.Add(func() error { e.gateway.Run(control); return nil }, func(error) { stopControl() })
+	group.Add(func() error { return subscriber.Serve(e.gateway.ReportLoad) }, closer(reports))
+	group.Add(func() error { subscriber.Run(control, e.agents); return nil }, func(error) { stopControl() })
 	logevent.Write(e.log, logevent.ProcessReady, logrus.Fields{"callers": e.settings.FrontListen, "metrics_port": metricsPort})
 	return group.Run()
 }
 
+// agents returns where the agents beside model engines listen.
+func (e *Entry) agents() []string {
+	snapshot := e.follower.snapshot()
+	if snapshot == nil || snapshot.Config == nil {
+		return nil
+	}
+	var addresses []string
+	for name, service := range snapshot.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for _, server := range snapshot.Listed(name) {
+			addresses = append(addresses, agentAddress(server.Address, e.settings.PeerPortFirst))
+		}
+	}
+	return addresses
+}
+
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if e.leaving.Load() || !e.gateway.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/server/deployed/topology.go
+++ b/server/deployed/topology.go
@@ -46,6 +46,14 @@
 	return f
 }
 
+// snapshot returns the latest snapshot, nil before the first.
+func (f *follower) snapshot() *topology.Snapshot {
+	if view := f.loop.View(); view != nil {
+		return *view
+	}
+	return nil
+}
+
 // run follows the store until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for _, table := range []string{platform.TableOperators, platform.TableServers} {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/policy/retry"
 	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/server/loadreport"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/upstream"
 )
@@ -75,15 +76,15 @@
 }
 
 // ReportLoad takes in the load of a backend server from the agent beside it.
-func (g *Gateway) ReportLoad(address string, state topology.RankState) {
+func (g *Gateway) ReportLoad(report loadreport.Report) {
 	snapshot := g.snapshot.Load()
 	if snapshot == nil || snapshot.Config == nil {
 		return
 	}
 	for name := range snapshot.Config.Services {
 		for _, candidate := range snapshot.Candidates(name) {
-			if candidate.Address == address {
-				g.desks.report(name, candidate.ID, state.Queued, state.Active, state.Open)
+			if candidate.Address == report.Server {
+				g.desks.report(name, candidate.ID, report.Queued, report.Active, report.Open)
 			}
 		}
 	}
--- /dev/null
+++ b/server/loadreport/loadreport.go
@@ -0,0 +1,161 @@
+// Package loadreport carries the load of backend servers from the agents beside
+// them to the entries, in small datagrams: an entry subscribes at an agent, and
+// the agent reports until the subscription lapses. A lost datagram is made up
+// by the next.
+package loadreport
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"persimmonwind.dev/policy/topology"
+)
+
+const (
+	// reportInterval is how often an agent reports: about once a pass.
+	reportInterval = 100 * time.Millisecond
+	// subscribeInterval is how often an entry renews its subscriptions.
+	subscribeInterval = time.Second
+	// subscriptionLife outlasts two lost renewals.
+	subscriptionLife = 3500 * time.Millisecond
+	// maxDatagram fits one Ethernet frame.
+	maxDatagram = 1400
+)
+
+// Report is the load of one backend server.
+type Report struct {
+	Server string // host:port.
+	Open   bool   // Its group takes work.
+	Queued int
+	Active int
+}
+
+// Publisher is an agent's side.
+type Publisher struct {
+	conn net.PacketConn
+
+	mu          sync.Mutex
+	subscribers map[netip.AddrPort]time.Time
+}
+
+// NewPublisher returns a publisher on the socket.
+func NewPublisher(conn net.PacketConn) *Publisher {
+	return &Publisher{conn: conn, subscribers: map[netip.AddrPort]time.Time{}}
+}
+
+// Serve takes subscriptions until the socket is closed.
+func (p *Publisher) Serve() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		_, from, err := p.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue // An ICMP error of an earlier datagram; the socket goes on.
+		}
+		if address, err := netip.ParseAddrPort(from.String()); err == nil {
+			p.mu.Lock()
+			p.subscribers[address] = time.Now()
+			p.mu.Unlock()
+		}
+	}
+}
+
+// Run publishes what read returns until ctx ends.
+func (p *Publisher) Run(ctx context.Context, server string, read func() (topology.RankState, bool)) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		subscribers := p.live()
+		if len(subscribers) == 0 {
+			continue
+		}
+		state, ok := read()
+		if !ok {
+			continue
+		}
+		p.publish(Report{Server: server, Open: state.Open, Queued: state.Queued, Active: state.Active}, subscribers)
+	}
+}
+
+func (p *Publisher) publish(report Report, subscribers []netip.AddrPort) {
+	data, err := json.Marshal(report)
+	if err != nil {
+		panic(fmt.Sprintf("a report can always be encoded: %v", err))
+	}
+	for _, address := range subscribers {
+		// The next report makes up for one that can't be sent.
+		_, _ = p.conn.WriteTo(data, net.UDPAddrFromAddrPort(address))
+	}
+}
+
+func (p *Publisher) live() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var live []netip.AddrPort
+	for address, at := range p.subscribers {
+		if time.Since(at) > subscriptionLife {
+			delete(p.subscribers, address)
+			continue
+		}
+		live = append(live, address)
+	}
+	return live
+}
+
+// Subscriber is an entry's side.
+type Subscriber struct {
+	conn net.PacketConn
+}
+
+// NewSubscriber returns a subscriber on the socket.
+func NewSubscriber(conn net.PacketConn) *Subscriber { return &Subscriber{conn: conn} }
+
+// Serve passes reports on until the socket is closed.
+func (s *Subscriber) Serve(take func(Report)) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := s.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue // An ICMP error of an earlier datagram; the socket goes on.
+		}
+		var report Report
+		if json.Unmarshal(buffer[:n], &report) == nil && report.Server != "" {
+			take(report)
+		}
+	}
+}
+
+// Run subscribes at the agents' addresses until ctx ends.
+func (s *Subscriber) Run(ctx context.Context, agents func() []string) {
+	ticker := time.NewTicker(subscribeInterval)
+	defer ticker.Stop()
+	for {
+		for _, agent := range agents() {
+			if address, err := netip.ParseAddrPort(agent); err == nil {
+				// The next subscription makes up for one that can't be sent.
+				_, _ = s.conn.WriteTo([]byte{1}, net.UDPAddrFromAddrPort(address))
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -18,3 +18,10 @@
 	AttemptFailed  = define(322, "attempt_failed", logrus.InfoLevel, "A backend server did not answer a request in full; the decision about another attempt is given.")
 	HeaderRejected = define(323, "header_rejected", logrus.WarnLevel, "A caller's header can't be read; the request goes on without it.")
 )
+
+// Leases of the expert maps' coordinators.
+var (
+	LeaseTaken  = define(410, "lease_taken", logrus.InfoLevel, "The agent coordinates its group's expert map from now on.")
+	LeaseLeft   = define(411, "lease_left", logrus.InfoLevel, "The agent no longer coordinates its group's expert map.")
+	LeaseFailed = define(412, "lease_failed", logrus.WarnLevel, "The lease of a group could not be taken; it is tried again.")
+)
--- /dev/null
+++ b/server/mapcontrol/agent.go
@@ -0,0 +1,125 @@
+package mapcontrol
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/server/logevent"
+	"persimmonwind.dev/server/rpc"
+)
+
+const (
+	// silenceLimit is how long no coordinator has called before an agent tries
+	// to take the lease: several rounds of reads.
+	silenceLimit = 700 * time.Millisecond
+	// rankStagger keeps the ranks of a group from trying all at once.
+	rankStagger = 30 * time.Millisecond
+	// watchInterval is how often an agent looks at the coordinator's silence.
+	watchInterval = 50 * time.Millisecond
+	// retryInterval follows a try for the lease that failed.
+	retryInterval = 500 * time.Millisecond
+)
+
+// Metrics counts what a coordinator does.
+type Metrics struct {
+	phases *prometheus.CounterVec
+	skew   prometheus.Gauge
+	copies prometheus.Counter
+}
+
+// NewMetrics registers a coordinator's metrics.
+func NewMetrics(registry *prometheus.Registry) *Metrics {
+	m := &Metrics{
+		phases: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "map_phases_total",
+			Help: "Phases of expert map changes that this coordinator has entered.",
+		}, []string{"phase"}),
+		skew: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "persimmonwind", Name: "map_skew",
+			Help: "Load of the most loaded rank over the mean, as last forecast.",
+		}),
+		copies: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "map_copies_total",
+			Help: "Experts that planned changes have copied.",
+		}),
+	}
+	registry.MustRegister(m.phases, m.skew, m.copies)
+	return m
+}
+
+// Agent takes part in a group's map for the rank beside it.
+type Agent struct {
+	Self    string // Name of this instance.
+	Engine  Engine
+	Direct  func(address string) Engine // For ranks whose agent is away.
+	Store   Store
+	Members func() []Member // Of the group, leaving ones included.
+	Model   func() *topology.Engine
+	Log     *logrus.Entry
+	Metrics *Metrics
+
+	rank  *Rank
+	peers *rpc.Pool
+}
+
+// Serve answers coordinators' calls until the listener is closed.
+func (a *Agent) Serve(listener net.Listener) error {
+	return rpc.Serve(listener, map[string]any{receiverName: a.rank})
+}
+
+// Prepare makes the agent ready to serve and run.
+func (a *Agent) Prepare() {
+	a.rank = NewRank(a.Engine)
+	a.peers = rpc.NewPool(nil)
+}
+
+// Run coordinates the group whenever no other agent does, until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	defer a.peers.Close()
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	var notBefore time.Time
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		silence, seen := a.rank.silence()
+		if silence < silenceLimit || time.Now().Before(notBefore) || a.Model() == nil {
+			continue
+		}
+		state, err := a.Engine.Report(ctx)
+		if err != nil || !state.Open || state.Group == "" {
+			continue
+		}
+		if silence < silenceLimit+time.Duration(state.Rank)*rankStagger {
+			continue
+		}
+		fence, err := takeLease(ctx, a.Store, state.Group, a.Self, seen)
+		if err != nil {
+			notBefore = time.Now().Add(retryInterval)
+			if !errors.Is(err, errLeaseLost) {
+				logevent.Write(a.Log, logevent.LeaseFailed, logrus.Fields{"group": state.Group, "silence_ms": silence.Milliseconds(), "error": err.Error()})
+			}
+			continue
+		}
+		logevent.Write(a.Log, logevent.LeaseTaken, logrus.Fields{"group": state.Group, "fence": fence, "silence_ms": silence.Milliseconds()})
+		a.coordinate(ctx, state, fence)
+		logevent.Write(a.Log, logevent.LeaseLeft, logrus.Fields{"group": state.Group, "fence": fence})
+	}
+}
+
+func (a *Agent) coordinate(ctx context.Context, state topology.RankState, fence uint64) {
+	c := &coordinator{
+		fence: fence, group: state.Group, members: a.Members, peers: a.peers, direct: a.Direct, log: a.Log,
+		planner: newPlanner(a.Model, state.Group, a.Log, a.Metrics), counters: a.Metrics,
+	}
+	c.run(ctx, state.Rank)
+}
--- /dev/null
+++ b/server/mapcontrol/coordinator.go
@@ -0,0 +1,238 @@
+package mapcontrol
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"persimmonwind.dev/policy/mapswitch"
+	"persimmonwind.dev/policy/reduce"
+	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/server/logevent"
+	"persimmonwind.dev/server/loop"
+	"persimmonwind.dev/server/rpc"
+)
+
+const (
+	// callTimeout bounds one call to an agent with its calls to the engine.
+	callTimeout = 300 * time.Millisecond
+	// readInterval is how often every rank is read, which tells the agents too
+	// that the coordinator lives.
+	readInterval = 100 * time.Millisecond
+	// tickInterval is how often the coordinator looks at orders without effect.
+	tickInterval = 20 * time.Millisecond
+)
+
+// coordinator runs the map of one group under one lease.
+type coordinator struct {
+	fence    uint64
+	group    string
+	members  func() []Member
+	peers    *rpc.Pool
+	direct   func(address string) Engine
+	log      *logrus.Entry
+	loop     *loop.Loop[mapswitch.State, view]
+	planner  *planner
+	fenced   context.CancelFunc
+	counters *Metrics
+
+	mu        sync.Mutex
+	addresses map[int]Member // Of the ranks of the epoch.
+	epoch     int64
+}
+
+// Member is a backend server of a group and the agent beside it.
+type Member struct {
+	Server string // host:port.
+	Agent  string // host:port.
+}
+
+// view is what the planner and the reader see of the control state.
+type view struct {
+	Phase   mapswitch.Phase
+	Epoch   int64
+	Size    int
+	Current mapswitch.Map
+	Lists   bool
+}
+
+// run coordinates until ctx ends or a newer coordinator has called an agent.
+func (c *coordinator) run(ctx context.Context, ownRank int) {
+	ctx, c.fenced = context.WithCancel(ctx)
+	defer c.fenced()
+	c.addresses = map[int]Member{}
+	c.loop = loop.New(mapswitch.Step, func(s mapswitch.State) view {
+		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, Lists: s.NeedsLists()}
+	}, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
+	go c.readAll(ctx)
+	go c.planner.run(ctx, c.loop)
+	// The loop ends without an error when its context does.
+	_ = c.loop.Run(ctx, mapswitch.New(c.fence, ownRank), tickInterval)
+}
+
+// readAll reads every member at each interval.
+func (c *coordinator) readAll(ctx context.Context) {
+	ticker := time.NewTicker(readInterval)
+	defer ticker.Stop()
+	for {
+		lists := true
+		if view := c.loop.View(); view != nil {
+			lists = view.Lists
+		}
+		for _, member := range c.allMembers() {
+			go c.read(ctx, member, lists)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// allMembers returns the listed members and those ranks of the epoch that are
+// listed no more.
+func (c *coordinator) allMembers() []Member {
+	members := c.members()
+	listed := map[string]bool{}
+	for _, member := range members {
+		listed[member.Server] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, member := range c.addresses {
+		if !listed[member.Server] {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+func (c *coordinator) caller() Caller { return Caller{Fence: c.fence, Group: c.group} }
+
+// read reads a rank through its agent, or the engine itself where the agent
+// doesn't answer.
+func (c *coordinator) read(ctx context.Context, member Member, lists bool) {
+	asked := time.Now()
+	args := ReadArgs{Caller: c.caller(), Counts: true, Lists: lists}
+	var reply ReadReply
+	if err := c.call(ctx, member.Agent, methodRead, args, &reply); err != nil {
+		if c.resigned(err) || !c.isRank(member) {
+			return
+		}
+		args.Counts = false // Counts read from afar make the group pause.
+		reply = ReadReply{}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := readInto(callCtx, c.direct(member.Server), args, &reply); err != nil {
+			return // Nothing is concluded from silence.
+		}
+	}
+	c.learn(member, reply.State, reply.Lists, asked)
+	if reply.Counts.Counts != nil && reply.Counts.Epoch == reply.State.Epoch {
+		c.planner.observe(reply.State.Rank, reply.Counts, time.Now())
+	}
+}
+
+// learn passes a rank's report on.
+func (c *coordinator) learn(member Member, state topology.RankState, lists topology.RankLists, asked time.Time) {
+	if state.Group != c.group || !state.Open {
+		return
+	}
+	c.mu.Lock()
+	if state.Epoch > c.epoch {
+		c.epoch = state.Epoch
+		c.addresses = map[int]Member{}
+	}
+	if state.Epoch == c.epoch {
+		c.addresses[state.Rank] = member
+	}
+	c.mu.Unlock()
+	c.loop.Post(mapswitch.RankRead{State: state, Lists: lists, Asked: asked})
+}
+
+func (c *coordinator) isRank(member Member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, known := range c.addresses {
+		if known == member {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *coordinator) execute(ctx context.Context, effect reduce.Effect) {
+	switch effect := effect.(type) {
+	case mapswitch.Give:
+		c.mu.Lock()
+		member, ok := c.addresses[effect.Rank]
+		c.mu.Unlock()
+		if ok {
+			go c.give(ctx, member, effect.Order)
+		}
+	case mapswitch.Moved:
+		c.counters.phases.WithLabelValues(effect.To.String()).Inc()
+		logevent.Write(c.log, logevent.MapPhase, logrus.Fields{
+			"group": c.group, "epoch": effect.Epoch, "version": effect.Version, "pass": effect.Pass,
+			"phase": effect.To.String(), "from": effect.From.String(), "after_ms": effect.After.Milliseconds(), "reason": effect.Reason,
+		})
+	}
+}
+
+// give passes an order to a rank. Orders that copy or arm may go to the engine
+// itself where the agent is away; a hold is only put and released beside the
+// coordinator, whose agent knows whether it has been succeeded.
+func (c *coordinator) give(ctx context.Context, member Member, order topology.Order) {
+	asked := time.Now()
+	var reply GiveReply
+	err := c.call(ctx, member.Agent, methodGive, GiveArgs{Caller: c.caller(), Order: order}, &reply)
+	if err != nil {
+		if c.resigned(err) || order.Kind == topology.Hold || order.Kind == topology.Release {
+			c.logOrder(member, order, err.Error())
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := giveInto(callCtx, c.direct(member.Server), order, &reply); err != nil {
+			c.logOrder(member, order, err.Error())
+			return
+		}
+	}
+	if reply.Problem != "" {
+		c.logOrder(member, order, reply.Problem)
+	}
+	c.learn(member, reply.State, topology.RankLists{}, asked)
+}
+
+func (c *coordinator) logOrder(member Member, order topology.Order, problem string) {
+	logevent.Write(c.log, logevent.MapOrderFailed, logrus.Fields{
+		"group": c.group, "server": member.Server, "order": order.Kind.String(),
+		"epoch": order.Epoch, "version": order.Version, "pass": order.Pass, "error": problem,
+	})
+}
+
+func (c *coordinator) call(ctx context.Context, agent, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := c.peers.Call(ctx, agent, method, args, reply)
+	if errors.Is(err, rpc.ErrUnreachable) {
+		c.peers.Drop(agent) // The connection may have gone silent.
+	}
+	return err
+}
+
+// resigned reports whether the error says that a newer coordinator has called,
+// and ends this one then.
+func (c *coordinator) resigned(err error) bool {
+	// net/rpc passes errors on as text.
+	if !strings.HasPrefix(err.Error(), errFenced.Error()) {
+		return false
+	}
+	c.fenced()
+	return true
+}
