Relieve slow ranks of experts and requests

Change: reports carry the pace; the planner weighs a rank's load by it and may move experts off; the desk places elsewhere and takes the slowest rank's base.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -41,6 +41,14 @@
 // other one with room comes first.
 const lastResort = 1 << 20
 
+const (
+	// slowLimit is the slowness from which a rank is given work only when all
+	// others are full: in lock-step its own part is in every pass of the group.
+	slowLimit = 1.25
+	// slowSurplus is more than the places of a server.
+	slowSurplus = 1 << 10
+)
+
 // Ticket is a request that wants a place at a backend server.
 type Ticket struct {
 	ID       uint64
@@ -91,7 +99,8 @@
 	own       int
 	others    int // Requests of other entries, as of reportAt.
 	reportAt  time.Time
-	closed    bool // The server's group takes no work.
+	closed    bool    // The server's group takes no work.
+	slowness  float64 // 1 for a usual server.
 	busyUntil time.Time
 	health    health
 	tokens    rampTokens
@@ -121,14 +130,35 @@
 	d.servers, d.byID = servers, byID
 }
 
-// Report takes in the load of a server as reported from beside it.
-func (d *Desk) Report(id string, queued, active int, open bool, now time.Time) {
+// Report is the load of a server as reported from beside it.
+type Report struct {
+	Queued int
+	Active int
+	Open   bool    // Its group takes work.
+	Pace   float64 // Over 1 for a slow server.
+}
+
+// Report takes in the load of a server.
+func (d *Desk) Report(id string, report Report, now time.Time) {
 	server := d.byID[id]
 	if server == nil {
 		return
 	}
-	server.others = max(0, queued+active-server.own)
-	server.closed, server.reportAt = !open, now
+	server.others = max(0, report.Queued+report.Active-server.own)
+	server.closed, server.slowness, server.reportAt = !report.Open, max(1, report.Pace), now
+	d.pace.slowest = d.slowest(now)
+}
+
+// slowest returns the slowness of the group's slowest server, 1 for a usual
+// one.
+func (d *Desk) slowest(now time.Time) float64 {
+	slowest := 1.0
+	for _, server := range d.servers {
+		if server.fresh(now) {
+			slowest = max(slowest, server.slowness)
+		}
+	}
+	return slowest
 }
 
 // Gap takes in the time between two events of a stream.
@@ -273,6 +303,9 @@
 		if candidate.candidate.Unlisted {
 			load += lastResort
 		}
+		if candidate.fresh(now) && candidate.slowness >= slowLimit {
+			load += slowSurplus
+		}
 		switch {
 		case best == nil || load < bestLoad:
 			best, bestLoad, ties = candidate, load, 1
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -105,9 +105,9 @@
 	Convey("Requests spread evenly, other entries' included", t, func() {
 		d := NewDesk(Ramp{Entries: 1})
 		d.Configure(candidates(3, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
-		d.Report("s0", 0, 4, true, start)
-		d.Report("s1", 0, 0, true, start)
-		d.Report("s2", 0, 0, true, start)
+		d.Report("s0", Report{Queued: 0, Active: 4, Open: true}, start)
+		d.Report("s1", Report{Queued: 0, Active: 0, Open: true}, start)
+		d.Report("s2", Report{Queued: 0, Active: 0, Open: true}, start)
 		got := map[string]int{}
 		for i := range 8 {
 			got[d.Ask(ticket(uint64(i), start), 0.3, start).Server.ID]++
@@ -143,14 +143,14 @@
 			return placed
 		}
 		for i := range 12 {
-			d.Report(fmt.Sprint("s", i), 0, 5, true, now)
+			d.Report(fmt.Sprint("s", i), Report{Queued: 0, Active: 5, Open: true}, now)
 		}
 		for range 50 {
 			now = now.Add(10 * time.Millisecond)
 			d.Gap(150*time.Millisecond, now) // 60 requests under a skew that is too much.
 		}
 		for i := range 12 {
-			d.Report(fmt.Sprint("s", i), 0, 2, true, now)
+			d.Report(fmt.Sprint("s", i), Report{Queued: 0, Active: 2, Open: true}, now)
 		}
 		// (0.85 * 120 - 29) ms of room at (150 - 29) / 60 ms a request.
 		So(24+fill(), ShouldBeBetween, 30, 40)
@@ -158,13 +158,52 @@
 	Convey("A group that takes no work gets none", t, func() {
 		d := NewDesk(Ramp{Entries: 1})
 		d.Configure(candidates(1, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
-		d.Report("s0", 0, 0, false, start)
+		d.Report("s0", Report{Queued: 0, Active: 0, Open: false}, start)
 		So(d.Ask(ticket(1, start), 0, start).Verdict, ShouldEqual, Wait)
-		d.Report("s0", 0, 0, true, start)
+		d.Report("s0", Report{Queued: 0, Active: 0, Open: true}, start)
 		So(d.Next(noRandom, start)[0].Verdict, ShouldEqual, Go)
 	})
 }
 
+func TestSlowRank(t *testing.T) {
+	Convey("Given a group with one rank three times as slow as usual", t, func() {
+		d := NewDesk(Ramp{Entries: 1})
+		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		now := start
+		for i := range 12 {
+			pace := 1.0
+			if i == 3 {
+				pace = 3
+			}
+			d.Report(fmt.Sprint("s", i), Report{Open: true, Pace: pace}, now)
+		}
+		Convey("it gets work only when the others are full", func() {
+			for i := range 60 {
+				So(d.Ask(ticket(uint64(i), now), 0.3, now).Server.ID, ShouldNotEqual, "s3")
+			}
+		})
+		Convey("passes that are long because of it alone do not lower the limit", func() {
+			for range 50 {
+				now = now.Add(10 * time.Millisecond)
+				// 3 * 29 ms without work, and 12 ms for 40 requests.
+				d.writersFor(40, now)
+				d.Gap(99*time.Millisecond, now)
+			}
+			So(d.pace.limit(12, 0), ShouldBeGreaterThan, 40)
+		})
+	})
+}
+
+// writersFor makes the desk believe that the group has so many requests.
+func (d *Desk) writersFor(total int, now time.Time) {
+	for i, s := range d.servers {
+		s.others, s.reportAt = total/len(d.servers), now
+		if i < total%len(d.servers) {
+			s.others++
+		}
+	}
+}
+
 func TestColdReturn(t *testing.T) {
 	Convey("All entries together stay under what a cold server bears", t, func() {
 		const entries = 4
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -26,20 +26,22 @@
 // so a pass grows with the requests of the whole group; the slope is observed
 // and holds the skew of the experts and the prompts that are read meanwhile.
 type Pace struct {
-	engine *topology.Engine
-	goal   time.Duration
-	slope  float64 // Seconds that one writing request of the group adds to a pass.
-	seenAt time.Time
-	pass   time.Duration // Smoothed, for the log.
+	engine  *topology.Engine
+	goal    time.Duration
+	slowest float64 // Slowness of the group's slowest server; 0 while unknown.
+	slope   float64 // Seconds that one writing request of the group adds to a pass.
+	seenAt  time.Time
+	pass    time.Duration // Smoothed, for the log.
 }
 
 func (p *Pace) configure(engine *topology.Engine, goal time.Duration) {
 	p.engine, p.goal = engine, goal
 }
 
-// base is the duration of a pass without work.
+// base is the duration of a pass without work, in seconds: that of the slowest
+// server.
 func (p *Pace) base() float64 {
-	return float64(p.engine.Stride) * p.engine.StepMS / 1000
+	return float64(p.engine.Stride) * p.engine.StepMS / 1000 * max(1, p.slowest)
 }
 
 // evenSlope is the slope of a group whose experts are spread perfectly.
--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -2,9 +2,10 @@
 // few seconds: hot experts get more replicas, a few at a time, so that each
 // small change is in force before demand jumps again.
 //
-// All ranks advance in lock-step and every set of layers waits for its most
-// loaded rank, so the cost of a map is the load of the most loaded rank, summed
-// over sets. A replicated expert's load is spread evenly over its replicas.
+// All ranks advance in lock-step and every set of layers waits for its slowest
+// rank, so the cost of a map is the time of the slowest rank, summed over sets.
+// A replicated expert's load is spread evenly over its replicas; a slow rank is
+// relieved of its experts.
 package hotexperts
 
 import "math"
@@ -25,6 +26,17 @@
 	Places    int // Experts that a rank holds in each set at most.
 	Experts   int // In each set.
 	NewPerSet int // Experts that one change may bring to a rank in each set.
+
+	// Slowness is the time of a rank for one unit of load; nil or 1 is usual.
+	Slowness []float64
+}
+
+// slowness returns the rank's.
+func (s Shape) slowness(rank int) float64 {
+	if rank >= len(s.Slowness) {
+		return 1
+	}
+	return max(1, s.Slowness[rank])
 }
 
 // Map places experts: by set and rank.
@@ -79,15 +91,15 @@
 	return chosen
 }
 
-// Skew returns the load of the most loaded rank, summed over sets, divided by
-// the mean load of ranks.
+// Skew returns the time of the most loaded rank, summed over sets, divided by
+// the time of an even load at usual ranks.
 func Skew(shape Shape, placement Map, load [][]float64) float64 {
 	var most, mean float64
 	for set := range placement {
 		s := newSearch(shape, placement[set], load[set])
 		highest := 0.0
-		for _, l := range s.loads {
-			highest = max(highest, l)
+		for rank, l := range s.loads {
+			highest = max(highest, l*shape.slowness(rank))
 			mean += l / float64(shape.Ranks)
 		}
 		most += highest
@@ -114,10 +126,11 @@
 }
 
 // step copies an expert to a rank, in place of the victim or, where that is
-// negative, to an empty place.
+// negative, to an empty place. Where it moves the expert, the rank from is
+// relieved of it; otherwise from is negative.
 type step struct {
-	expert, rank, victim int
-	gain                 float64
+	expert, rank, victim, from int
+	gain                       float64
 }
 
 func newSearch(shape Shape, placement [][]int, load []float64) *search {
@@ -145,11 +158,11 @@
 }
 
 // term is a rank's part of the cost.
-func (s *search) term(load float64) float64 {
+func (s *search) term(rank int, load float64) float64 {
 	if s.mean == 0 {
 		return 0
 	}
-	x := load / s.mean
+	x := load * s.shape.slowness(rank) / s.mean
 	x *= x
 	x *= x
 	return x * x
@@ -157,8 +170,8 @@
 
 func (s *search) costOf() float64 {
 	total := 0.0
-	for _, l := range s.loads {
-		total += s.term(l)
+	for rank, l := range s.loads {
+		total += s.term(rank, l)
 	}
 	return total
 }
@@ -186,7 +199,7 @@
 			if copies[rank] >= budget || s.fresh[rank] >= s.shape.NewPerSet || s.holds(rank, expert) {
 				continue
 			}
-			s.consider(&best, expert, rank)
+			s.consider(&best, expert, rank, hottest)
 		}
 	}
 	return best, best.gain > 0 && s.relative(best.gain) >= minGain
@@ -200,17 +213,28 @@
 	return 1 - math.Pow(max(0, 1-gain/s.cost), 1.0/unevenness)
 }
 
-func (s *search) consider(best *step, expert, rank int) {
+func (s *search) consider(best *step, expert, rank, hottest int) {
 	if len(s.held[rank]) < s.shape.Places {
-		s.offer(best, step{expert: expert, rank: rank, victim: -1})
+		s.offerBoth(best, step{expert: expert, rank: rank, victim: -1}, hottest)
 	}
 	for _, victim := range s.held[rank] {
 		if len(s.holders[victim]) > 1 {
-			s.offer(best, step{expert: expert, rank: rank, victim: victim})
+			s.offerBoth(best, step{expert: expert, rank: rank, victim: victim}, hottest)
 		}
 	}
 }
 
+// offerBoth offers the step as a further replica and, where the hottest rank is
+// slow, as a move away from it.
+func (s *search) offerBoth(best *step, candidate step, hottest int) {
+	candidate.from = -1
+	s.offer(best, candidate)
+	if s.shape.slowness(hottest) > 1 {
+		candidate.from = hottest
+		s.offer(best, candidate)
+	}
+}
+
 func (s *search) offer(best *step, candidate step) {
 	candidate.gain = s.gain(candidate)
 	if candidate.gain > best.gain {
@@ -220,11 +244,12 @@
 
 // gain returns by how much the step lowers the cost.
 func (s *search) gain(candidate step) float64 {
-	before := len(s.holders[candidate.expert])
+	holders := s.holders[candidate.expert]
 	load := s.load[candidate.expert]
-	shed := load/float64(before) - load/float64(before+1)
-	gain := 0.0
-	arriving := load / float64(before+1)
+	before, after := float64(len(holders)), float64(len(holders)+1)
+	if candidate.from >= 0 {
+		after--
+	}
 	taken, left := 0.0, 0.0
 	var victims []int
 	if candidate.victim >= 0 {
@@ -233,23 +258,27 @@
 		left = s.load[candidate.victim] / n
 		taken = s.load[candidate.victim]/(n-1) - left
 	}
-	change := func(rank int, delta float64) float64 {
-		return s.term(s.loads[rank]) - s.term(s.loads[rank]+delta)
+	gain := 0.0
+	change := func(rank int, delta float64) {
+		gain += s.term(rank, s.loads[rank]) - s.term(rank, s.loads[rank]+delta)
 	}
-	for _, holder := range s.holders[candidate.expert] {
-		delta := -shed
-		if candidate.victim >= 0 && holder != candidate.rank && s.holds(holder, candidate.victim) {
+	for _, holder := range holders {
+		delta := load/after - load/before
+		if holder == candidate.from {
+			delta = -load / before
+		}
+		if candidate.victim >= 0 && s.holds(holder, candidate.victim) {
 			delta += taken
 		}
-		gain += change(holder, delta)
+		change(holder, delta)
 	}
 	for _, holder := range victims {
-		if holder == candidate.rank || s.holds(holder, candidate.expert) {
-			continue
+		if holder != candidate.rank && !s.holds(holder, candidate.expert) {
+			change(holder, taken)
 		}
-		gain += change(holder, taken)
 	}
-	return gain + change(candidate.rank, arriving-left)
+	change(candidate.rank, load/after-left)
+	return gain
 }
 
 func (s *search) apply(chosen step) {
@@ -266,6 +295,9 @@
 	s.held[chosen.rank] = append(s.held[chosen.rank], chosen.expert)
 	s.holders[chosen.expert] = append(s.holders[chosen.expert], chosen.rank)
 	s.fresh[chosen.rank]++
+	if chosen.from >= 0 {
+		s.release(chosen.expert, chosen.from)
+	}
 	s.cost = s.costOf()
 }
 
@@ -283,9 +315,10 @@
 
 func (s *search) hottest() int {
 	hottest := 0
+	most := 0.0
 	for rank, l := range s.loads {
-		if l > s.loads[hottest] {
-			hottest = rank
+		if time := l * s.shape.slowness(rank); time > most {
+			hottest, most = rank, time
 		}
 	}
 	return hottest
--- a/policy/hotexperts/hotexperts_test.go
+++ b/policy/hotexperts/hotexperts_test.go
@@ -75,6 +75,22 @@
 	})
 }
 
+func TestSlowRank(t *testing.T) {
+	Convey("A rank three times as slow as usual keeps only what nobody asks for", t, func() {
+		for seed := range uint64(20) {
+			shape := usersShape
+			shape.Slowness = []float64{1, 1, 1, 1, 3, 1, 1, 1, 1, 1, 1, 1}
+			load := topics(rand.New(rand.NewPCG(seed, 2)), shape, usersSets)
+			placement := inTurn(shape, usersSets)
+			for range 5 {
+				placement = Decide(shape, placement, load, 3).Map
+			}
+			// Eleven ranks carry the load of twelve.
+			So(Skew(shape, placement, load), ShouldBeLessThan, 1.15*12/11)
+		}
+	})
+}
+
 func TestPlanFits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		shape := Shape{
@@ -82,6 +98,9 @@
 			Experts:   rapid.IntRange(2, 24).Draw(t, "experts"),
 			NewPerSet: rapid.IntRange(1, 3).Draw(t, "new"),
 		}
+		if rapid.Bool().Draw(t, "one is slow") {
+			shape.Slowness = []float64{rapid.Float64Range(1, 12).Draw(t, "slowness")}
+		}
 		shape.Places = (shape.Experts+shape.Ranks-1)/shape.Ranks + rapid.IntRange(0, 2).Draw(t, "spare places")
 		sets := rapid.IntRange(1, 3).Draw(t, "sets")
 		budget := rapid.IntRange(1, 4).Draw(t, "budget")
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -281,6 +281,15 @@
 // NeedsLists reports whether the ranks' lists must be read.
 func (s State) NeedsLists() bool { return s.Phase == Survey }
 
+// Slowness returns each rank's, 1 for a usual or unread one.
+func (s State) Slowness() []float64 {
+	slowness := make([]float64, s.Size)
+	for id := range slowness {
+		slowness[id] = max(1, s.Ranks[id].State.Pace)
+	}
+	return slowness
+}
+
 func (s State) prepare(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
 	if now.Sub(s.Since) > prepareLimit {
 		s, moved := s.move(Survey, "ranks did not copy in time", now)
--- a/server/gateway/desks.go
+++ b/server/gateway/desks.go
@@ -126,8 +126,8 @@
 }
 
 // report takes in the load of a server from the agent beside it.
-func (d *desks) report(service, server string, queued, active int, open bool) {
-	d.with(service, func(desk *desk) { desk.Report(server, queued, active, open, time.Now()) })
+func (d *desks) report(service, server string, report dispatch.Report) {
+	d.with(service, func(desk *desk) { desk.Report(server, report, time.Now()) })
 }
 
 func (d *desks) with(service string, do func(*desk)) {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -84,7 +84,9 @@
 	for name := range snapshot.Config.Services {
 		for _, candidate := range snapshot.Candidates(name) {
 			if candidate.Address == report.Server {
-				g.desks.report(name, candidate.ID, report.Queued, report.Active, report.Open)
+				g.desks.report(name, candidate.ID, dispatch.Report{
+					Queued: report.Queued, Active: report.Active, Open: report.Open, Pace: report.Pace,
+				})
 			}
 		}
 	}
--- a/server/loadreport/loadreport.go
+++ b/server/loadreport/loadreport.go
@@ -34,6 +34,7 @@
 	Open   bool   // Its group takes work.
 	Queued int
 	Active int
+	Pace   float64 // Over 1 for a slow server.
 }
 
 // Publisher is an agent's side.
@@ -86,7 +87,7 @@
 		if !ok {
 			continue
 		}
-		p.publish(Report{Server: server, Open: state.Open, Queued: state.Queued, Active: state.Active}, subscribers)
+		p.publish(Report{Server: server, Open: state.Open, Queued: state.Queued, Active: state.Active, Pace: state.Pace}, subscribers)
 	}
 }
 
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -58,6 +58,8 @@
 	Size    int
 	Current mapswitch.Map
 	Lists   bool
+
+	Slowness []float64 // By rank, as reported.
 }
 
 // run coordinates until ctx ends or a newer coordinator has called an agent.
@@ -66,7 +68,7 @@
 	defer c.fenced()
 	c.addresses = map[int]Member{}
 	c.loop = loop.New(mapswitch.Step, func(s mapswitch.State) view {
-		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, Lists: s.NeedsLists()}
+		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, Lists: s.NeedsLists(), Slowness: s.Slowness()}
 	}, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -92,7 +93,10 @@
 	if p.demand.Choices() < minChoices {
 		return
 	}
-	shape := hotexperts.Shape{Ranks: state.Size, Places: engine.Places, Experts: engine.Experts, NewPerSet: engine.NewPerSet}
+	shape := hotexperts.Shape{
+		Ranks: state.Size, Places: engine.Places, Experts: engine.Experts, NewPerSet: engine.NewPerSet,
+		Slowness: state.Slowness,
+	}
 	plan := hotexperts.Decide(shape, state.Current, p.demand.Load(), copyBudget)
 	p.gauges.skew.Set(plan.SkewBefore)
 	if plan.Copies == 0 {
@@ -101,7 +105,7 @@
 	p.gauges.copies.Add(float64(plan.Copies))
 	logevent.Write(p.log, logevent.MapPlanned, logrus.Fields{
 		"group": p.group, "epoch": state.Epoch, "copies": plan.Copies, "most_copies": plan.MostCopies,
-		"skew_before": plan.SkewBefore, "skew_after": plan.SkewAfter, "choices": p.demand.Choices(),
+		"skew_before": plan.SkewBefore, "skew_after": plan.SkewAfter, "slowest": slices.Max(state.Slowness), "choices": p.demand.Choices(),
 	})
 	control.Post(mapswitch.Planned{Epoch: state.Epoch, Map: plan.Map})
 }
