Move streams off ranks that hold up their group; shorten the change of a map

Change: resumable streams go on at another rank; the next pass is held rather than the one after; ranks are read every 2 ms a rank during a change.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -47,6 +47,10 @@
 	slowLimit = 1.25
 	// slowSurplus is more than the places of a server.
 	slowSurplus = 1 << 10
+	// moveLimit is the slowness from which resumable streams are moved off a
+	// rank: its base time alone is then half of the longest pause that users
+	// allow. A rank without requests does not slow its group.
+	moveLimit = 2.0
 )
 
 // Ticket is a request that wants a place at a backend server.
@@ -149,18 +153,34 @@
 	d.pace.slowest = d.slowest(now)
 }
 
-// slowest returns the slowness of the group's slowest server, 1 for a usual
-// one.
+// slowest returns the slowness of the slowest server that has requests, 1 for a
+// usual one.
 func (d *Desk) slowest(now time.Time) float64 {
 	slowest := 1.0
 	for _, server := range d.servers {
-		if server.fresh(now) {
+		if server.fresh(now) && server.own+server.others > 0 {
 			slowest = max(slowest, server.slowness)
 		}
 	}
 	return slowest
 }
 
+// MoveOff reports whether resumable streams should go on at another server: this
+// one holds its whole group up, and most others would not.
+func (d *Desk) MoveOff(id string, now time.Time) bool {
+	server := d.byID[id]
+	if server == nil || d.pace.engine == nil || !server.fresh(now) || server.slowness < moveLimit {
+		return false
+	}
+	usual := 0
+	for _, other := range d.servers {
+		if other.fresh(now) && !other.closed && other.slowness < slowLimit {
+			usual++
+		}
+	}
+	return 2*usual > len(d.servers)
+}
+
 // Gap takes in the time between two events of a stream.
 func (d *Desk) Gap(gap time.Duration, now time.Time) {
 	d.pace.observe(gap, d.writers(now), now)
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -182,6 +182,14 @@
 				So(d.Ask(ticket(uint64(i), now), 0.3, now).Server.ID, ShouldNotEqual, "s3")
 			}
 		})
+		Convey("streams are moved off it alone, and off none where most are slow", func() {
+			So(d.MoveOff("s3", now), ShouldBeTrue)
+			So(d.MoveOff("s4", now), ShouldBeFalse)
+			for i := range 12 {
+				d.Report(fmt.Sprint("s", i), Report{Open: true, Pace: 3}, now)
+			}
+			So(d.MoveOff("s3", now), ShouldBeFalse)
+		})
 		Convey("passes that are long because of it alone do not lower the limit", func() {
 			for range 50 {
 				now = now.Add(10 * time.Millisecond)
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	// passLead is how many passes ahead of the last known one the hold is put:
-	// the orders take a few ms, a pass 30 ms or more.
-	passLead = 2
+	// passLead is how many passes ahead of the last known one the hold is put.
+	// The next pass is the soonest; a hold that comes too late for it is refused,
+	// and the answer tells which pass is the next.
+	passLead = 1
 	// resendAfter is how long an order that shows no effect is waited for;
 	// engines on the same machine answer within a few ms.
 	resendAfter = 40 * time.Millisecond
@@ -315,6 +316,8 @@
 		return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: holder.State.HeldPass}, s.only(s.HoldRank))
 	case s.lastPass() >= s.HoldPass:
 		s.HoldPass = s.lastPass() + passLead
+		holder.OrderAt = time.Time{} // The hold before was refused, or came too late.
+		s.Ranks[s.HoldRank] = holder
 	}
 	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
 }
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -184,9 +185,25 @@
 	return last
 }
 
+// errMoved is the cause of an exchange that ends so that its stream goes on at
+// another server.
+var errMoved = errors.New("moved off a server that holds up its group")
+
 // exchange sends the request and relays the answer. The outcome is what it says
-// of the server.
+// of the server. A resumable stream may be moved off the server meanwhile.
 func (c *call) exchange(ctx context.Context, service string, server topology.Candidate) (dispatch.Outcome, *result.Error) {
+	if !c.resumable() || c.runs+1 >= c.route.MaxAttempts {
+		return c.send(ctx, service, server)
+	}
+	ctx, move := context.WithCancelCause(ctx)
+	defer move(nil)
+	forbid := c.gateway.desks.allowMove(service, server.ID, c, move)
+	defer forbid()
+	return c.send(ctx, service, server)
+}
+
+// send sends the request and relays the answer.
+func (c *call) send(ctx context.Context, service string, server topology.Candidate) (dispatch.Outcome, *result.Error) {
 	conn, err := c.gateway.pool.Get(ctx, server.Address, !c.route.Repeatable())
 	if err != nil {
 		return dispatch.Unreached, result.Errorf(result.NoBackendServer, "%v", err)
@@ -237,6 +254,8 @@
 	switch {
 	case c.http.Context().Err() != nil:
 		return dispatch.CallerLeft, result.Errorf(result.Cancelled, "the caller has left")
+	case errors.Is(context.Cause(ctx), errMoved):
+		return dispatch.CallerLeft, result.Errorf(result.CutAnswer, "%v", errMoved)
 	case ctx.Err() != nil:
 		return dispatch.CallerLeft, result.Errorf(result.DeadlineExceeded, "no whole answer within the time left")
 	default:
--- a/server/gateway/desks.go
+++ b/server/gateway/desks.go
@@ -27,6 +27,7 @@
 type desk struct {
 	*dispatch.Desk
 	waiting map[uint64]chan dispatch.Decision
+	movable map[string]map[*call]context.CancelCauseFunc // Streams that may be moved, by server.
 }
 
 func newDesks(ramp dispatch.Ramp) *desks {
@@ -44,7 +45,7 @@
 	pauses := pauseGoals(snapshot.Config)
 	for name := range snapshot.Config.Services {
 		if d.byName[name] == nil {
-			d.byName[name] = &desk{Desk: dispatch.NewDesk(d.ramp), waiting: map[uint64]chan dispatch.Decision{}}
+			d.byName[name] = &desk{Desk: dispatch.NewDesk(d.ramp), waiting: map[uint64]chan dispatch.Decision{}, movable: map[string]map[*call]context.CancelCauseFunc{}}
 		}
 	}
 	for name, desk := range d.byName {
@@ -125,9 +126,37 @@
 	d.with(service, func(desk *desk) { desk.Cold(server, time.Now().Add(left)) })
 }
 
-// report takes in the load of a server from the agent beside it.
+// report takes in the load of a server from the agent beside it, and moves
+// streams off a server that holds up its group.
 func (d *desks) report(service, server string, report dispatch.Report) {
-	d.with(service, func(desk *desk) { desk.Report(server, report, time.Now()) })
+	d.with(service, func(desk *desk) {
+		desk.Report(server, report, time.Now())
+		if len(desk.movable[server]) == 0 || !desk.MoveOff(server, time.Now()) {
+			return
+		}
+		for _, move := range desk.movable[server] {
+			move(errMoved)
+		}
+	})
+}
+
+// allowMove lets the stream be moved off the server until the returned function
+// is called.
+func (d *desks) allowMove(service, server string, c *call, move context.CancelCauseFunc) (forbid func()) {
+	d.with(service, func(desk *desk) {
+		if desk.movable[server] == nil {
+			desk.movable[server] = map[*call]context.CancelCauseFunc{}
+		}
+		desk.movable[server][c] = move
+	})
+	return func() {
+		d.with(service, func(desk *desk) {
+			delete(desk.movable[server], c)
+			if len(desk.movable[server]) == 0 {
+				delete(desk.movable, server)
+			}
+		})
+	}
 }
 
 func (d *desks) with(service string, do func(*desk)) {
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -15,6 +15,7 @@
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/loop"
 	"persimmonwind.dev/server/rpc"
+	"persimmonwind.dev/server/wait"
 )
 
 const (
@@ -23,6 +24,9 @@
 	// readInterval is how often every rank is read, which tells the agents too
 	// that the coordinator lives.
 	readInterval = 100 * time.Millisecond
+	// changeReadInterval holds while a change is under way, for each rank: 24 ms
+	// in a group of twelve, and never more calls a second in a larger one.
+	changeReadInterval = 2 * time.Millisecond
 	// tickInterval is how often the coordinator looks at orders without effect.
 	tickInterval = 20 * time.Millisecond
 )
@@ -78,21 +82,23 @@
 
 // readAll reads every member at each interval.
 func (c *coordinator) readAll(ctx context.Context) {
-	ticker := time.NewTicker(readInterval)
-	defer ticker.Stop()
-	for {
-		lists := true
+	var countsAt time.Time
+	for ctx.Err() == nil {
+		interval, lists := readInterval, true
 		if view := c.loop.View(); view != nil {
 			lists = view.Lists
+			if view.Phase != mapswitch.Idle && view.Phase != mapswitch.Survey {
+				interval = min(interval, time.Duration(view.Size)*changeReadInterval)
+			}
 		}
-		for _, member := range c.allMembers() {
-			go c.read(ctx, member, lists)
+		counts := time.Since(countsAt) >= readInterval-interval/2
+		if counts {
+			countsAt = time.Now()
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
+		for _, member := range c.allMembers() {
+			go c.read(ctx, member, lists, counts)
 		}
+		wait.For(ctx, interval)
 	}
 }
 
@@ -118,9 +124,9 @@
 
 // read reads a rank through its agent, or the engine itself where the agent
 // doesn't answer.
-func (c *coordinator) read(ctx context.Context, member Member, lists bool) {
+func (c *coordinator) read(ctx context.Context, member Member, lists, counts bool) {
 	asked := time.Now()
-	args := ReadArgs{Caller: c.caller(), Counts: true, Lists: lists}
+	args := ReadArgs{Caller: c.caller(), Counts: counts, Lists: lists}
 	var reply ReadReply
 	if err := c.call(ctx, member.Agent, methodRead, args, &reply); err != nil {
 		if c.resigned(err) || !c.isRank(member) {
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// planInterval is how often a new map is considered while none is under way:
-	// twice as often as new counts come.
-	planInterval = 50 * time.Millisecond
+	// planInterval is how often a new map is considered while none is under way: a
+	// fraction of a pass.
+	planInterval = 20 * time.Millisecond
 	// copyBudget is the number of experts that one change may bring to a rank: a
 	// few tenths of a second of copying, so that several changes fit between two
 	// jumps of demand.
