--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -27,9 +27,15 @@
 	// The next pass is the soonest; a hold that comes too late for it is refused,
 	// and the answer tells which pass is the next.
 	passLead = 1
+	// lossyPassLead holds where orders of the same change were lost: the group
+	// then has a pass to run while lost orders to arm are repeated.
+	lossyPassLead = 2
 	// resendAfter is how long an order that shows no effect is waited for;
 	// engines on the same machine answer within a few ms.
-	resendAfter = 40 * time.Millisecond
+	resendAfter = 12 * time.Millisecond
+	// copyResendAfter is the same for an order to copy, whose effect shows only
+	// when the copy is complete; a rank that copies says that it is busy.
+	copyResendAfter = 40 * time.Millisecond
 	// prepareLimit is how long ranks may copy before the version is given up; a
 	// change brings each rank a few experts of about 0.1 s each.
 	prepareLimit = 4 * time.Second
@@ -75,7 +81,8 @@
 	HoldRank int
 	HoldPass int64
 
-	made int64 // Versions made under this lease.
+	made  int64 // Versions made under this lease.
+	lossy bool  // An order to copy had to be repeated in this change.
 }
 
 // Rank is a rank as last reported.
@@ -145,6 +152,7 @@
 		if s.Phase == Idle && event.Epoch == s.Epoch {
 			s.Next = event.Map
 			s.Version = s.nextVersion()
+			s.lossy = false
 			s, effects = s.move(Preparing, "planned", input.Now)
 		}
 	}
@@ -297,12 +305,14 @@
 		return s, moved, nil
 	}
 	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version }) {
-		s.HoldPass = s.lastPass() + passLead
+		s.HoldPass = s.nextHold()
 		s, moved := s.move(Holding, "all ranks prepared", now)
 		return s, moved, nil
 	}
-	return s, nil, s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
+	orders := s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
 		func(r Rank) bool { return r.State.Prepared != s.Version && !r.State.OrderRunning })
+	s.lossy = s.lossy || len(orders) > 0 && now.After(s.Since)
+	return s, nil, orders
 }
 
 func (s State) hold(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
@@ -315,7 +325,7 @@
 		// An earlier hold of this lease took effect late; no rank was armed for it.
 		return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: holder.State.HeldPass}, s.only(s.HoldRank))
 	case s.lastPass() >= s.HoldPass:
-		s.HoldPass = s.lastPass() + passLead
+		s.HoldPass = s.nextHold()
 		holder.OrderAt = time.Time{} // The hold before was refused, or came too late.
 		s.Ranks[s.HoldRank] = holder
 	}
@@ -383,10 +393,14 @@
 // a moment ago.
 func (s State) order(now time.Time, order topology.Order, needs func(Rank) bool) []reduce.Effect {
 	order.Epoch, order.Fence = s.Epoch, s.Fence
+	patience := resendAfter
+	if order.Kind == topology.Prepare {
+		patience = copyResendAfter
+	}
 	var effects []reduce.Effect
 	for id := range s.Size {
 		rank := s.Ranks[id]
-		if !needs(rank) || now.Sub(rank.OrderAt) < resendAfter {
+		if !needs(rank) || now.Sub(rank.OrderAt) < patience {
 			continue
 		}
 		rank.OrderAt = now
@@ -409,6 +423,14 @@
 	return true
 }
 
+// nextHold returns the pass to hold.
+func (s State) nextHold() int64 {
+	if s.lossy {
+		return s.lastPass() + lossyPassLead
+	}
+	return s.lastPass() + passLead
+}
+
 func (s State) lastPass() int64 {
 	var last int64
 	for _, rank := range s.Ranks {
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -28,7 +28,7 @@
 	// in a group of twelve, and never more calls a second in a larger one.
 	changeReadInterval = 2 * time.Millisecond
 	// tickInterval is how often the coordinator looks at orders without effect.
-	tickInterval = 20 * time.Millisecond
+	tickInterval = 10 * time.Millisecond
 )
 
 // coordinator runs the map of one group under one lease.
