Queue by what can still be in time; change the map only where it pays

Change: the margin is two and a half passes, late requests wait for 0.8 s at most, 95% of the places are used, a change must save more than its copies cost within 2 s.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -29,12 +29,24 @@
 	maxWait = 2 * time.Second
 	// rateWindow is the span over which the rate of freed places is measured.
 	rateWindow = 2 * time.Second
+	// minRate is the rate that is assumed where fewer places became free: after a
+	// start or an outage there were none yet.
+	minRate = 5.0
 	// minRetryAfter keeps refused callers from coming back while nothing has
 	// changed.
 	minRetryAfter = 300 * time.Millisecond
-	// serveMargin is the time before its objective by which a waiting request
-	// must start to be in time: about two passes of reading and writing.
-	serveMargin = 150 * time.Millisecond
+	// serveMargin is the time before its objective by which a request must start
+	// to be in time, at a plain service: the usual work of a call.
+	serveMargin = 60 * time.Millisecond
+	// servePasses is the same at an engine: the rest of the pass under way, the
+	// pass that reads the prompt, and half of one for a long prompt.
+	servePasses = 2.5
+	// lateWait is how long a request that can no longer be in time waits for a
+	// place that nobody else wants.
+	lateWait = 800 * time.Millisecond
+	// fillShare of an engine group's places are used, so that entries which place
+	// at the same moment rarely find a server full.
+	fillShare = 0.95
 )
 
 // lastResort is added to the load of a server that may have left, so that any
@@ -194,7 +206,7 @@
 		}
 	}
 	decision := d.describe(ticket, now)
-	decision.Predicted = d.predictedWait(now)
+	decision.Predicted = d.predictedWait(ticket, now)
 	if len(d.servers) == 0 {
 		decision.Verdict, decision.Reason = Refuse, "no_server"
 		decision.RetryAfter = maxPredictedWait
@@ -225,10 +237,10 @@
 			}
 			full = true
 		}
-		if now.Sub(ticket.Arrived) > maxWait || !now.Before(ticket.GiveUp) {
+		if d.hopeless(ticket, now) {
 			decision := d.describe(ticket, now)
 			decision.Verdict, decision.Reason = Refuse, "waited_too_long"
-			decision.RetryAfter = max(minRetryAfter, d.predictedWait(now))
+			decision.RetryAfter = max(minRetryAfter, d.predictedWait(ticket, now))
 			decisions = append(decisions, decision)
 			continue
 		}
@@ -391,8 +403,24 @@
 	})
 }
 
+// inTime reports whether the ticket, placed now, would have its first answer in
+// time.
 func (d *Desk) inTime(ticket Ticket, now time.Time) bool {
-	return now.Add(serveMargin).Before(ticket.InTime)
+	return now.Add(d.margin()).Before(ticket.InTime)
+}
+
+// margin is how long a placed request needs until its first answer.
+func (d *Desk) margin() time.Duration {
+	if d.pace.engine == nil {
+		return serveMargin
+	}
+	return time.Duration(servePasses * float64(d.pace.passTime()))
+}
+
+// hopeless reports whether the ticket has waited for as long as it pays.
+func (d *Desk) hopeless(ticket Ticket, now time.Time) bool {
+	late := ticket.InTime.Add(lateWait - d.margin())
+	return now.Sub(ticket.Arrived) > maxWait || now.After(late) || !now.Before(ticket.GiveUp)
 }
 
 func (d *Desk) anyInTime(now time.Time) bool {
@@ -404,18 +432,25 @@
 	return false
 }
 
-// predictedWait is how long a ticket that joins the waiting ones would wait.
-func (d *Desk) predictedWait(now time.Time) time.Duration {
+// predictedWait is how long the ticket would wait if it joined the waiting ones:
+// one that can be in time goes before those that can't.
+func (d *Desk) predictedWait(ticket Ticket, now time.Time) time.Duration {
 	cut := 0
 	for cut < len(d.freed) && now.Sub(d.freed[cut]) > rateWindow {
 		cut++
 	}
 	d.freed = d.freed[cut:]
-	if len(d.waiting) == 0 {
-		return 0
+	ahead := len(d.waiting)
+	if d.inTime(ticket, now) {
+		ahead = 0
+		for _, other := range d.waiting {
+			if d.inTime(other, now) {
+				ahead++
+			}
+		}
 	}
-	rate := float64(len(d.freed)+1) / rateWindow.Seconds()
-	return time.Duration(float64(len(d.waiting)+1) / rate * float64(time.Second))
+	rate := max(minRate, float64(len(d.freed))/rateWindow.Seconds())
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
 func (d *Desk) describe(ticket Ticket, now time.Time) Decision {
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -81,5 +81,10 @@
 	room := paceGoalShare*p.goal.Seconds() - p.base()
 	limit := room / slope
 	limit = max(limit, minPerServer*float64(servers))
-	return int(min(limit, float64(servers*p.engine.Slots)))
+	return int(min(limit, fillShare*float64(servers*p.engine.Slots)))
+}
+
+// passTime returns the usual duration of a pass at present.
+func (p *Pace) passTime() time.Duration {
+	return max(p.pass, time.Duration(p.base()*float64(time.Second)))
 }
--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -8,7 +8,10 @@
 // relieved of its experts.
 package hotexperts
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// unevenness is the power of a rank's load in the cost that the search
@@ -51,6 +54,31 @@
 	SkewAfter  float64
 }
 
+// Costs weigh a change against what it saves.
+type Costs struct {
+	CopyTime    time.Duration // A rank's for one expert.
+	ExpertShare float64       // Share of a pass that is spent on experts.
+}
+
+const (
+	// copySlowdown is the share by which the group's passes take longer while a
+	// rank copies, as the platform's engines say.
+	copySlowdown = 0.15
+	// horizon is how long a map is taken to fit: demand jumps every 3 to 4 s, and
+	// the requests under way change within 2 s.
+	horizon = 2 * time.Second
+)
+
+// Pays reports whether the time that the plan saves within the horizon exceeds
+// what its copies cost the group.
+func (p Plan) Pays(costs Costs) bool {
+	if p.Copies == 0 || p.SkewBefore <= 0 {
+		return false
+	}
+	saved := (p.SkewBefore - p.SkewAfter) / p.SkewBefore * costs.ExpertShare * horizon.Seconds()
+	return saved > copySlowdown*float64(p.MostCopies)*costs.CopyTime.Seconds()
+}
+
 // Decide improves the current map for the load by set and expert. No rank
 // copies more than budget experts. The current map is not changed.
 func Decide(shape Shape, current Map, load [][]float64, budget int) Plan {
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -22,6 +22,10 @@
 	// few tenths of a second of copying, so that several changes fit between two
 	// jumps of demand.
 	copyBudget = 2
+	// expertPassShare is the share of a busy group's pass that experts take: a
+	// step of the users' engines has 4.8 ms besides, and 3 to 5 ms of token work,
+	// most of it the experts'.
+	expertPassShare = 0.4
 	// minChoices is the number of observed choices below which a forecast is
 	// noise.
 	minChoices = 2000
@@ -99,7 +103,7 @@
 	}
 	plan := hotexperts.Decide(shape, state.Current, p.demand.Load(), copyBudget)
 	p.gauges.skew.Set(plan.SkewBefore)
-	if plan.Copies == 0 {
+	if !plan.Pays(hotexperts.Costs{CopyTime: engine.CopyTime(), ExpertShare: expertPassShare}) {
 		return
 	}
 	p.gauges.copies.Add(float64(plan.Copies))
