--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -21,6 +21,9 @@
 	reportLife = time.Second
 	// busyPause is how long a server that refused a request for load gets none.
 	busyPause = 60 * time.Millisecond
+	// replacedPause outlasts the time in which the list learns of a server that
+	// has gone: three heartbeats of about a second.
+	replacedPause = 5 * time.Second
 	// maxPredictedWait is the predicted wait above which a request is refused at
 	// once: beyond it even a late answer takes room that newer requests use in
 	// time.
@@ -108,6 +111,7 @@
 	waiting []Ticket
 	freed   []time.Time // When places became free, within rateWindow.
 	limit   int         // Places of all servers together; 0 for no bound.
+	gate    gate
 }
 
 type server struct {
@@ -212,6 +216,15 @@
 		decision.RetryAfter = maxPredictedWait
 		return decision
 	}
+	if d.gate.closed {
+		// Nobody knows when the group opens; as many as it can take may wait.
+		if len(d.waiting) >= d.room() {
+			decision.Verdict, decision.Reason = Refuse, "group_closed"
+			decision.RetryAfter = closedRetryAfter
+			return decision
+		}
+		decision.Predicted = 0
+	}
 	if decision.Predicted > maxPredictedWait || now.Add(decision.Predicted).After(ticket.GiveUp) {
 		decision.Verdict, decision.Reason = Refuse, "wait_too_long"
 		decision.RetryAfter = max(minRetryAfter, decision.Predicted-maxPredictedWait/2)
@@ -241,6 +254,9 @@
 			decision := d.describe(ticket, now)
 			decision.Verdict, decision.Reason = Refuse, "waited_too_long"
 			decision.RetryAfter = max(minRetryAfter, d.predictedWait(ticket, now))
+			if d.gate.closed {
+				decision.Reason, decision.RetryAfter = "group_closed", closedRetryAfter
+			}
 			decisions = append(decisions, decision)
 			continue
 		}
@@ -250,6 +266,42 @@
 	return decisions
 }
 
+// room returns this entry's part of the places, for requests that wait for a
+// closed group.
+func (d *Desk) room() int {
+	places := 0
+	for _, server := range d.servers {
+		places += server.candidate.Slots
+	}
+	return places / max(1, d.ramp.Entries)
+}
+
+// reportedOpen returns whether most servers report that their group takes work,
+// and whether there are reports at all.
+func (d *Desk) reportedOpen(now time.Time) reportedState {
+	open, closed := 0, 0
+	for _, server := range d.servers {
+		switch {
+		case !server.fresh(now):
+		case server.closed:
+			closed++
+		default:
+			open++
+		}
+	}
+	switch {
+	case open+closed == 0:
+		return unreported
+	case open > closed:
+		return reportsOpen
+	default:
+		return reportsClosed
+	}
+}
+
+// Accepted notes that a server has begun to answer a request.
+func (d *Desk) Accepted() { d.gate.accepted() }
+
 // Leave takes a waiting ticket out, because its caller has left.
 func (d *Desk) Leave(id uint64) {
 	for i, ticket := range d.waiting {
@@ -272,6 +324,7 @@
 	Busy               // Refused for load; it did not run.
 	Failed             // The server failed, or the exchange broke off.
 	Unreached          // No connection could be made.
+	Replaced           // Another server answers at its address.
 	CallerLeft         // Says nothing of the server.
 )
 
@@ -288,6 +341,11 @@
 		server.health.succeeded()
 	case Busy:
 		server.busyUntil = now.Add(busyPause)
+		if d.pace.engine != nil && 2*(server.own+server.freshOthers(now)) < server.candidate.Slots {
+			d.gate.refused(now)
+		}
+	case Replaced:
+		server.busyUntil = now.Add(replacedPause)
 	case Failed:
 		server.health.failed(now)
 	case Unreached:
@@ -306,6 +364,9 @@
 
 // place finds a server for the ticket and takes a place there.
 func (d *Desk) place(ticket Ticket, random float64, now time.Time) (Decision, bool) {
+	if !d.gate.passes(d.reportedOpen(now), now) {
+		return Decision{}, false
+	}
 	total := d.writers(now)
 	d.limit = d.pace.limit(len(d.servers), total)
 	if d.limit > 0 && total >= d.limit {
@@ -319,6 +380,7 @@
 	decision.Verdict, decision.Server, decision.Reason = Go, best.candidate, "least_loaded"
 	best.own++
 	best.tokens.take(now)
+	d.gate.passed()
 	return decision, true
 }
 
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -165,6 +165,59 @@
 	})
 }
 
+func TestClosedGroup(t *testing.T) {
+	Convey("Given a group that refuses a request although it has room", t, func() {
+		d := NewDesk(Ramp{Entries: 1})
+		d.Configure(candidates(4, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		now := start
+		first := d.Ask(ticket(0, now), 0, now)
+		d.Done(first.Server.ID, Busy, now)
+		for i := range 10 {
+			So(d.Ask(ticket(uint64(i+1), now), 0, now).Verdict, ShouldEqual, Wait)
+		}
+
+		Convey("one request at a time tries whether it takes work again", func() {
+			later := now.Add(gatePause)
+			So(d.Next(noRandom, later), ShouldHaveLength, 1)
+			So(d.Next(noRandom, later.Add(gatePause)), ShouldBeEmpty)
+
+			Convey("and all follow when it does", func() {
+				d.Accepted()
+				So(d.Next(noRandom, later), ShouldHaveLength, 9)
+			})
+			Convey("and the next when it doesn't", func() {
+				d.Done("s0", Busy, later)
+				So(d.Next(noRandom, later.Add(gatePause)), ShouldHaveLength, 1)
+			})
+		})
+		Convey("all follow at once when the reports say that it is open", func() {
+			later := now.Add(gatePause)
+			for i := range 4 {
+				d.Report(fmt.Sprint("s", i), Report{Open: true}, later)
+			}
+			So(d.Next(noRandom, later), ShouldHaveLength, 10)
+		})
+		Convey("those who have waited in vain are told when to come back", func() {
+			for i := range 4 {
+				d.Report(fmt.Sprint("s", i), Report{Open: false}, now.Add(1900*time.Millisecond))
+			}
+			decisions := d.Next(noRandom, now.Add(1900*time.Millisecond))
+			So(decisions, ShouldHaveLength, 10)
+			for _, decision := range decisions {
+				So(decision.Verdict, ShouldEqual, Refuse)
+				So(decision.RetryAfter, ShouldEqual, closedRetryAfter)
+			}
+		})
+	})
+	Convey("A server that is not at its address any more is passed over", t, func() {
+		d := plainDesk(2, 100)
+		d.Done("s0", Replaced, start)
+		for i := range 10 {
+			So(d.Ask(ticket(uint64(i), start), 0, start).Server.ID, ShouldEqual, "s1")
+		}
+	})
+}
+
 func TestSlowRank(t *testing.T) {
 	Convey("Given a group with one rank three times as slow as usual", t, func() {
 		d := NewDesk(Ramp{Entries: 1})
--- a/policy/topology/configuration.go
+++ b/policy/topology/configuration.go
@@ -116,4 +116,5 @@
 	Slots      int
 	Leaving    bool
 	WarmUpLeft time.Duration // At the time of listing.
+	Revision   uint64        // Of the row; a later one was written later.
 }
--- a/policy/topology/snapshot.go
+++ b/policy/topology/snapshot.go
@@ -41,7 +41,7 @@
 	} else if s.Config != nil {
 		snapshot.index()
 	}
-	for id, server := range s.Servers {
+	for id, server := range s.latestAtAddress() {
 		service := server.Server.Service
 		snapshot.listed[service] = append(snapshot.listed[service], server.Server)
 		if server.Server.Leaving || s.TakenOut[server.Server.DataCentre] {
@@ -61,6 +61,23 @@
 	return snapshot
 }
 
+// latestAtAddress leaves out servers whose address has another server by now:
+// their rows have only not lapsed yet.
+func (s State) latestAtAddress() map[string]ServerState {
+	latest := map[string]string{}
+	for id, server := range s.Servers {
+		other, taken := latest[server.Server.Address]
+		if !taken || s.Servers[other].Server.Revision < server.Server.Revision {
+			latest[server.Server.Address] = id
+		}
+	}
+	kept := make(map[string]ServerState, len(latest))
+	for _, id := range latest {
+		kept[id] = s.Servers[id]
+	}
+	return kept
+}
+
 func (s *Snapshot) index() {
 	s.routesByHost = map[string][]*Route{}
 	s.byKey = map[string]*Organisation{}
--- a/policy/topology/topology_test.go
+++ b/policy/topology/topology_test.go
@@ -100,6 +100,12 @@
 			s = after(s, &now, TakenOutListed{})
 			So(ids(s), ShouldHaveLength, 3)
 		})
+		Convey("one whose address has a newer server is passed over", func() {
+			successor := server("w")
+			successor.Address, successor.Revision = "y:1", 9
+			s = after(s, &now, ServerRead{Server: successor})
+			So(ids(s), ShouldResemble, []string{"w", "x", "z"})
+		})
 		Convey("a snapshot does not change when the state does", func() {
 			before := s.Snapshot(nil)
 			leaving := server("y")
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -222,9 +222,13 @@
 		exchange.Abort()
 		refusal := result.Errorf(result.Overloaded, "server %s refused with status %d", server.ID, exchange.Response.StatusCode)
 		refusal.RetryAfter = said.RetryAfter
+		if said.OtherServer {
+			return dispatch.Replaced, refusal
+		}
 		return dispatch.Busy, refusal
 	}
 	c.runs++
+	c.gateway.desks.accepted(service)
 	if said.Encoded || !said.Stamped {
 		exchange.Abort()
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "status %d, stamped %t, encoded %t", exchange.Response.StatusCode, said.Stamped, said.Encoded)
--- a/server/gateway/desks.go
+++ b/server/gateway/desks.go
@@ -116,6 +116,11 @@
 	})
 }
 
+// accepted notes that a server of the service has begun to answer.
+func (d *desks) accepted(service string) {
+	d.with(service, func(desk *desk) { desk.Accepted() })
+}
+
 // gap takes in the time between two events of a stream.
 func (d *desks) gap(service string, gap time.Duration) {
 	d.with(service, func(desk *desk) { desk.Gap(gap, time.Now()) })
