Hold requests for a closed group until their callers would leave; subscribe at new agents at once

Cause: after the final fault the group opened 1.4 s after the machines were back; those who came back once had waited 1.1 s and were refused for good, and load reports began only after a second.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -266,6 +266,10 @@
 	return decisions
 }
 
+// likelyEntries share the places of a group that opens; a data centre has one
+// or two entries, and the users three data centres.
+const likelyEntries = 3
+
 // room returns this entry's part of the places, for requests that wait for a
 // closed group.
 func (d *Desk) room() int {
@@ -273,7 +277,7 @@
 	for _, server := range d.servers {
 		places += server.candidate.Slots
 	}
-	return places / max(1, d.ramp.Entries)
+	return places / likelyEntries
 }
 
 // reportedOpen returns whether most servers report that their group takes work,
@@ -482,6 +486,9 @@
 // hopeless reports whether the ticket has waited for as long as it pays.
 func (d *Desk) hopeless(ticket Ticket, now time.Time) bool {
 	late := ticket.InTime.Add(lateWait - d.margin())
+	if d.gate.closed {
+		late = ticket.GiveUp // The group may open at any moment, with all its places free.
+	}
 	return now.Sub(ticket.Arrived) > maxWait || now.After(late) || !now.Before(ticket.GiveUp)
 }
 
--- a/server/loadreport/loadreport.go
+++ b/server/loadreport/loadreport.go
@@ -22,6 +22,8 @@
 	reportInterval = 100 * time.Millisecond
 	// subscribeInterval is how often an entry renews its subscriptions.
 	subscribeInterval = time.Second
+	// lookInterval is how often an entry looks whether agents have been added.
+	lookInterval = 100 * time.Millisecond
 	// subscriptionLife outlasts two lost renewals.
 	subscriptionLife = 3500 * time.Millisecond
 	// maxDatagram fits one Ethernet frame.
@@ -142,15 +144,16 @@
 	}
 }
 
-// Run subscribes at the agents' addresses until ctx ends.
+// Run subscribes at the agents' addresses until ctx ends; at new ones at once.
 func (s *Subscriber) Run(ctx context.Context, agents func() []string) {
-	ticker := time.NewTicker(subscribeInterval)
+	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
+	subscribed := map[string]time.Time{}
 	for {
 		for _, agent := range agents() {
-			if address, err := netip.ParseAddrPort(agent); err == nil {
-				// The next subscription makes up for one that can't be sent.
-				_, _ = s.conn.WriteTo([]byte{1}, net.UDPAddrFromAddrPort(address))
+			if time.Since(subscribed[agent]) >= subscribeInterval {
+				subscribed[agent] = time.Now()
+				s.subscribe(agent)
 			}
 		}
 		select {
@@ -160,3 +163,12 @@
 		}
 	}
 }
+
+func (s *Subscriber) subscribe(agent string) {
+	address, err := netip.ParseAddrPort(agent)
+	if err != nil {
+		return // Not an address to send to; the list's reader has logged the row.
+	}
+	// The next subscription makes up for one that can't be sent.
+	_, _ = s.conn.WriteTo([]byte{1}, net.UDPAddrFromAddrPort(address))
+}
