--- a/policy/hotexperts/hotexperts_test.go
+++ b/policy/hotexperts/hotexperts_test.go
@@ -182,6 +182,19 @@
 			So(d.Load()[0][1], ShouldBeLessThan, 2.0)
 			So(d.Load()[0][0], ShouldBeGreaterThan, 40.0)
 		})
+		Convey("a jump is followed within a few counts", func() {
+			counts := []int64{1000, 50}
+			for i := range 20 {
+				counts = []int64{counts[0], counts[1] + 50}
+				d.Observe(0, 1, counts, at(200+100*i))
+			}
+			for i := range 2 {
+				counts = []int64{counts[0] + 50, counts[1]}
+				d.Observe(0, 1, counts, at(2200+100*i))
+			}
+			load := d.Load()[0]
+			So(load[0]/(load[0]+load[1]), ShouldBeGreaterThan, 0.75)
+		})
 		Convey("counts of a new epoch start anew", func() {
 			d.Observe(0, 2, []int64{7, 7}, at(200))
 			So(d.Load()[0][1], ShouldEqual, 50.0)
