--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -47,6 +47,10 @@
 	// lateWait is how long a request that can no longer be in time waits for a
 	// place that nobody else wants.
 	lateWait = 800 * time.Millisecond
+	// lateShare of the places are open to requests that can no longer be in time.
+	// A backlog would otherwise take all places of a group that has just opened,
+	// and everyone who comes in the next seconds would be late too.
+	lateShare = 0.7
 	// fillShare of an engine group's places are used, so that entries which place
 	// at the same moment rarely find a server full.
 	fillShare = 0.95
@@ -376,6 +380,9 @@
 	if d.limit > 0 && total >= d.limit {
 		return Decision{}, false
 	}
+	if d.limit > 0 && !d.inTime(ticket, now) && float64(total) >= lateShare*float64(d.limit) {
+		return Decision{}, false
+	}
 	best := d.choose(ticket, random, now)
 	if best == nil {
 		return Decision{}, false
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -165,6 +165,27 @@
 	})
 }
 
+func TestBacklog(t *testing.T) {
+	Convey("A backlog of late requests leaves places to those that come now", t, func() {
+		d := NewDesk(Ramp{Entries: 1})
+		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		now := start
+		for i := range 12 {
+			d.Report(fmt.Sprint("s", i), Report{Open: false}, now)
+		}
+		for i := range 200 {
+			d.Ask(ticket(uint64(i), now), 0, now)
+		}
+		later := now.Add(time.Second)
+		for i := range 12 {
+			d.Report(fmt.Sprint("s", i), Report{Open: true}, later)
+		}
+		placed := len(d.Next(noRandom, later))
+		So(placed, ShouldBeBetween, 20, 100)
+		So(d.Ask(ticket(1000, later), 0, later).Verdict, ShouldEqual, Go)
+	})
+}
+
 func TestClosedGroup(t *testing.T) {
 	Convey("Given a group that refuses a request although it has room", t, func() {
 		d := NewDesk(Ramp{Entries: 1})
