Let one request at a time try a closed group, each only once

Cause: a request that tried a closed group spent its attempts there and was refused for good after three (found while writing the operators' page).

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -80,6 +80,7 @@
 	GiveUp   time.Time // When it is of no use any more.
 	Priority int       // 0 is the most urgent.
 	Avoid    string    // A server that has just failed the request; empty for none.
+	Tried    bool      // The request has found the group closed; another one tries next.
 }
 
 // Verdict is what the desk decides about a ticket.
@@ -252,7 +253,8 @@
 				decisions = append(decisions, decision)
 				continue
 			}
-			full = true
+			// Those behind one that has tried a closed group may still try.
+			full = !(d.gate.closed && ticket.Tried)
 		}
 		if d.hopeless(ticket, now) {
 			decision := d.describe(ticket, now)
@@ -336,11 +338,12 @@
 	CallerLeft         // Says nothing of the server.
 )
 
-// Done gives the request's place at the server back.
-func (d *Desk) Done(id string, outcome Outcome, now time.Time) {
+// Done gives the request's place at the server back. It reports whether the
+// server's group takes no work.
+func (d *Desk) Done(id string, outcome Outcome, now time.Time) (closed bool) {
 	server := d.byID[id]
 	if server == nil {
-		return // The server has left the list meanwhile.
+		return d.gate.closed // The server has left the list meanwhile.
 	}
 	server.own = max(0, server.own-1)
 	switch outcome {
@@ -361,6 +364,7 @@
 	case CallerLeft:
 		d.freed = append(d.freed, now)
 	}
+	return d.gate.closed
 }
 
 // Cold notes that a server says it is in cold start until the time.
@@ -372,7 +376,7 @@
 
 // place finds a server for the ticket and takes a place there.
 func (d *Desk) place(ticket Ticket, random float64, now time.Time) (Decision, bool) {
-	if !d.gate.passes(d.reportedOpen(now), now) {
+	if !d.gate.passes(d.reportedOpen(now), now) || d.gate.closed && ticket.Tried {
 		return Decision{}, false
 	}
 	total := d.writers(now)
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -206,6 +206,15 @@
 				d.Accepted()
 				So(d.Next(noRandom, later), ShouldHaveLength, 9)
 			})
+			Convey("one that has tried does not try again", func() {
+				d.Done("s0", Busy, later)
+				tried := ticket(0, now)
+				tried.Tried = true
+				d.waiting = append([]Ticket{tried}, d.waiting...)
+				decisions := d.Next(noRandom, later.Add(gatePause))
+				So(decisions, ShouldHaveLength, 1)
+				So(decisions[0].Ticket, ShouldNotEqual, uint64(0))
+			})
 			Convey("and the next when it doesn't", func() {
 				d.Done("s0", Busy, later)
 				So(d.Next(noRandom, later.Add(gatePause)), ShouldHaveLength, 1)
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -21,9 +21,12 @@
 const (
 	notReadyRetryAfter = 500 * time.Millisecond // A restarted entry reads its tables faster.
 	usualBodyBytes     = 4 << 20                // Where the configuration names no limit.
+	// groupRetryAfter is told to callers whose group takes no work: a rank that
+	// was cut off is back after some seconds.
+	groupRetryAfter = 2 * time.Second
 	// maxSends bounds how often one request is sent, refusals by busy servers
 	// included.
-	maxSends = 4
+	maxSends = 5
 
 	// Callers leave a stream after the longest of three gaps without an event.
 	streamPatience    = 2 * time.Second
@@ -52,6 +55,7 @@
 
 	sends     int    // Attempts that reached a connection.
 	runs      int    // Attempts that may have run.
+	tried     bool   // The request has found its group closed.
 	refused   bool   // The desk has refused; no attempt follows.
 	avoid     string // The server of the last failed attempt.
 	server    string // The server of the last attempt, for the log.
@@ -103,7 +107,7 @@
 	case c.sends >= maxSends || c.runs >= c.route.MaxAttempts:
 		reason = "attempts_used_up"
 	case !retry.Retriable(retry.Attempt{
-		Number: number, Err: failure,
+		Number: max(1, c.runs), Err: failure, // Refusals are bounded by maxSends.
 		Begun:      c.begun && !c.resumable(),
 		Idempotent: c.route.Repeatable(),
 		Waited:     time.Since(c.arrived),
@@ -153,9 +157,15 @@
 	}
 	c.server = decision.Server.ID
 	outcome, failure := c.exchange(ctx, service, decision.Server)
-	c.gateway.desks.done(service, decision.Server.ID, outcome)
-	if failure != nil {
-		c.avoid = decision.Server.ID
+	closed := c.gateway.desks.done(service, decision.Server.ID, outcome)
+	if failure == nil {
+		return nil
+	}
+	c.avoid = decision.Server.ID
+	if closed && outcome == dispatch.Busy {
+		c.tried = true
+		failure = result.Errorf(result.GroupWaiting, "%s", failure.Detail)
+		failure.RetryAfter = groupRetryAfter
 	}
 	return failure
 }
@@ -167,7 +177,7 @@
 	}
 	return dispatch.Ticket{
 		Arrived: c.arrived, InTime: c.arrived.Add(c.route.Objective), GiveUp: c.lastStart(),
-		Priority: priority, Avoid: c.avoid,
+		Priority: priority, Avoid: c.avoid, Tried: c.tried,
 	}
 }
 
--- a/server/gateway/desks.go
+++ b/server/gateway/desks.go
@@ -108,12 +108,13 @@
 	return dispatch.Decision{}, ctx.Err()
 }
 
-// done gives a place back.
-func (d *desks) done(service, server string, outcome dispatch.Outcome) {
+// done gives a place back. It reports whether the server's group takes no work.
+func (d *desks) done(service, server string, outcome dispatch.Outcome) (closed bool) {
 	d.with(service, func(desk *desk) {
-		desk.Done(server, outcome, time.Now())
+		closed = desk.Done(server, outcome, time.Now())
 		desk.settle()
 	})
+	return closed
 }
 
 // accepted notes that a server of the service has begun to answer.
