--- a/server/doccheck/doccheck_test.go
+++ b/server/doccheck/doccheck_test.go
@@ -10,9 +10,13 @@
 	"strings"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"persimmonwind.dev/policy/control"
 	"persimmonwind.dev/policy/result"
+	"persimmonwind.dev/server/gateway"
 	"persimmonwind.dev/server/logevent"
+	"persimmonwind.dev/server/mapcontrol"
 	"persimmonwind.dev/server/metrics"
 	"persimmonwind.dev/server/settings"
 )
@@ -105,9 +109,29 @@
 			fmt.Fprintf(&page, "| `%s` | %s | %s |\n", family.GetName(), strings.ToLower(family.GetType().String()), family.GetHelp())
 		}
 	}
+	page.WriteString("\nThe processes on the users' platform serve `/metrics` at the port of `--metrics-port`:\n\n| metric | type | meaning |\n|---|---|---|\n")
+	writeDeployedMetrics(t, &page)
 	check(t, "../../docs/METRICS.md", page.String())
 }
 
+// writeDeployedMetrics describes the metrics of entries and agents on the users'
+// platform from what their registries say of each.
+func writeDeployedMetrics(t *testing.T, page *strings.Builder) {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	gatewayMetrics := gateway.NewMetrics(registry)
+	gatewayMetrics.Ended(result.OK, 0)
+	mapMetrics := mapcontrol.NewMetrics(registry)
+	mapMetrics.Entered("idle")
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		fmt.Fprintf(page, "| `%s` | %s | %s |\n", family.GetName(), strings.ToLower(family.GetType().String()), family.GetHelp())
+	}
+}
+
 func yes(value bool) string {
 	if value {
 		return "yes"
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -134,6 +134,6 @@
 	if c.events > 0 {
 		fields["events"] = c.events
 	}
-	c.gateway.metrics.ended(code, time.Since(c.arrived))
+	c.gateway.metrics.Ended(code, time.Since(c.arrived))
 	logevent.Write(c.log, logevent.RequestEnded, fields)
 }
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -39,7 +39,8 @@
 	return m
 }
 
-func (m *Metrics) ended(code result.Code, elapsed time.Duration) {
+// Ended counts a request that has ended.
+func (m *Metrics) Ended(code result.Code, elapsed time.Duration) {
 	m.requests.WithLabelValues(strconv.Itoa(int(code))).Inc()
 	m.duration.Observe(elapsed.Seconds())
 }
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -53,6 +53,9 @@
 	return m
 }
 
+// Entered counts a phase that a change of the map has entered.
+func (m *Metrics) Entered(phase string) { m.phases.WithLabelValues(phase).Inc() }
+
 // Agent takes part in a group's map for the rank beside it.
 type Agent struct {
 	Self    string // Name of this instance.
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -184,7 +184,7 @@
 			go c.give(ctx, member, effect.Order)
 		}
 	case mapswitch.Moved:
-		c.counters.phases.WithLabelValues(effect.To.String()).Inc()
+		c.counters.Entered(effect.To.String())
 		logevent.Write(c.log, logevent.MapPhase, logrus.Fields{
 			"group": c.group, "epoch": effect.Epoch, "version": effect.Version, "pass": effect.Pass,
 			"phase": effect.To.String(), "from": effect.From.String(), "after_ms": effect.After.Milliseconds(), "reason": effect.Reason,
