--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -202,7 +202,7 @@
 	s.Servers = maps.Clone(s.Servers)
 	s.Servers[server.ID] = next
 	s.revision++
-	before.Server.Revision = server.Revision
+	before.Server.Revision, before.Server.WarmUpLeft = server.Revision, server.WarmUpLeft
 	if known && before.VanishAt.IsZero() && before.Server == server {
 		return s, nil
 	}
