Carry counts as gains and maps as changes, so that a coordinator serves 63 ranks

Cause: on the grown sites no map came in force: 63 whole maps and counts ten times a second overflowed the coordinator's link of 8 Mbit/s, its calls timed out, agents took the lease from each other, and reads from afar made the group pause for 2.5 s. Change: an agent remembers its counts and tells what they gained, one to two bytes a number, twelve ranks a round; an order to copy holds what changes in the map that the agent knows; an order whose call has not returned is not repeated; the copy budget follows from the copy time; lists are read from afar once a second at most.

--- /dev/null
+++ b/policy/hotexperts/bench_test.go
@@ -0,0 +1,28 @@
+package hotexperts
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// BenchmarkDecide plans after a jump of demand at the users' sizes of today
+// and after growth.
+func BenchmarkDecide(b *testing.B) {
+	sizes := map[string]struct {
+		shape  Shape
+		sets   int
+		budget int
+	}{
+		"12-ranks": {usersShape, usersSets, 2},
+		"63-ranks": {Shape{Ranks: 63, Places: 5, Experts: 252, NewPerSet: 2}, 8, 12},
+	}
+	for name, size := range sizes {
+		b.Run(name, func(b *testing.B) {
+			load := topics(rand.New(rand.NewPCG(1, 1)), size.shape, size.sets)
+			placement := inTurn(size.shape, size.sets)
+			for b.Loop() {
+				Decide(size.shape, placement, load, size.budget)
+			}
+		})
+	}
+}
--- a/policy/hotexperts/demand.go
+++ b/policy/hotexperts/demand.go
@@ -18,25 +18,17 @@
 	jumpDistance = 0.25
 )
 
-// Demand forecasts the load of each expert from counts that only grow while a
-// group lives.
+// Demand forecasts the load of each expert from what ranks count.
 type Demand struct {
 	sets, experts int
-	epoch         int64
-	ranks         map[int]seen
 	load          [][]float64 // Within demandMemory.
 	latest        [][]float64 // Within latestMemory.
 	total         float64     // Choices within demandMemory.
 }
 
-type seen struct {
-	counts []int64
-	at     time.Time
-}
-
 // NewDemand returns a forecast that has seen nothing.
 func NewDemand(sets, experts int) *Demand {
-	d := &Demand{sets: sets, experts: experts, ranks: map[int]seen{}}
+	d := &Demand{sets: sets, experts: experts}
 	d.load, d.latest = zeroes(sets, experts), zeroes(sets, experts)
 	return d
 }
@@ -49,30 +41,21 @@
 	return table
 }
 
-// Observe takes in the counts of a rank: set by set, how often its requests
-// chose each expert. Counts of another length are ignored; it reports whether
-// they were used.
-func (d *Demand) Observe(rank int, epoch int64, counts []int64, now time.Time) bool {
-	if len(counts) != d.sets*d.experts {
+// Observe takes in what the counts of a rank have gained in the time: set by
+// set, how often its requests chose each expert. Gains of another length are
+// ignored; it reports whether they were used. Ranks is the number of ranks that
+// are observed in turn.
+func (d *Demand) Observe(gains []int64, elapsed time.Duration, ranks int) bool {
+	if len(gains) != d.sets*d.experts {
 		return false
 	}
-	if epoch != d.epoch {
-		d.epoch = epoch
-		d.ranks = map[int]seen{}
-	}
-	before, known := d.ranks[rank]
-	d.ranks[rank] = seen{counts: counts, at: now}
-	if !known {
-		return true
-	}
-	elapsed := now.Sub(before.at).Seconds() / float64(len(d.ranks))
-	decay := math.Exp(-elapsed / demandMemory.Seconds())
-	latestDecay := math.Exp(-elapsed / latestMemory.Seconds())
+	seconds := elapsed.Seconds() / float64(max(1, ranks))
+	decay := math.Exp(-seconds / demandMemory.Seconds())
+	latestDecay := math.Exp(-seconds / latestMemory.Seconds())
 	d.total *= decay
 	for set := range d.load {
 		for expert := range d.load[set] {
-			i := set*d.experts + expert
-			chosen := float64(max(0, counts[i]-before.counts[i]))
+			chosen := float64(gains[set*d.experts+expert])
 			d.load[set][expert] = d.load[set][expert]*decay + chosen
 			d.latest[set][expert] = d.latest[set][expert]*latestDecay + chosen
 			d.total += chosen
--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -104,6 +104,10 @@
 		plan.MostCopies = max(plan.MostCopies, count)
 	}
 	plan.SkewAfter = Skew(shape, plan.Map, load)
+	if plan.SkewAfter > plan.SkewBefore {
+		// The search's cost weighs the second most loaded rank too.
+		return Plan{Map: current, SkewBefore: plan.SkewBefore, SkewAfter: plan.SkewBefore}
+	}
 	return plan
 }
 
--- /dev/null
+++ b/policy/mapswitch/change.go
@@ -0,0 +1,72 @@
+package mapswitch
+
+import "slices"
+
+// Change is what differs between two maps, by rank. Agents that know the map in
+// force get it instead of the whole next map, which in a large group is a
+// hundred times as long.
+type Change struct {
+	Set, Rank int
+	Experts   []int // All that the rank holds in the set from now on.
+}
+
+// Changes returns what turns one map into the other.
+func Changes(from, to Map) []Change {
+	var changes []Change
+	for set := range to {
+		for rank := range to[set] {
+			if set >= len(from) || rank >= len(from[set]) || !slices.Equal(from[set][rank], to[set][rank]) {
+				changes = append(changes, Change{Set: set, Rank: rank, Experts: to[set][rank]})
+			}
+		}
+	}
+	return changes
+}
+
+// Apply returns the map that the changes make of from, which is not changed. Not
+// ok means that they don't belong to it.
+func Apply(from Map, changes []Change) (to Map, ok bool) {
+	to = make(Map, len(from))
+	for set := range from {
+		to[set] = slices.Clone(from[set])
+	}
+	for _, change := range changes {
+		if change.Set >= len(to) || change.Rank >= len(to[change.Set]) {
+			return nil, false
+		}
+		to[change.Set][change.Rank] = change.Experts
+	}
+	return to, true
+}
+
+// Shape is the size of a group's map.
+type Shape struct{ Sets, Experts, Ranks int }
+
+// InTurn returns the map with which a group begins: experts are dealt to the
+// ranks in turn.
+func InTurn(shape Shape) Map {
+	dealt := make(Map, shape.Sets)
+	for set := range dealt {
+		dealt[set] = make([][]int, shape.Ranks)
+		for expert := range shape.Experts {
+			rank := expert % shape.Ranks
+			dealt[set][rank] = append(dealt[set][rank], expert)
+		}
+	}
+	return dealt
+}
+
+// DealtInTurn returns the shape of a map that InTurn makes; not ok for others.
+func DealtInTurn(m Map) (Shape, bool) {
+	if len(m) == 0 {
+		return Shape{}, false
+	}
+	shape := Shape{Sets: len(m), Ranks: len(m[0])}
+	for _, experts := range m[0] {
+		shape.Experts += len(experts)
+	}
+	if len(Changes(InTurn(shape), m)) > 0 {
+		return Shape{}, false
+	}
+	return shape, true
+}
--- /dev/null
+++ b/policy/mapswitch/change_test.go
@@ -0,0 +1,34 @@
+package mapswitch
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestChangesAndApply(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) Map {
+			experts := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 3)
+			return rapid.SliceOfN(rapid.SliceOfN(experts, 3, 3), 2, 2).Draw(t, name)
+		}
+		from, to := draw("from"), draw("to")
+		applied, ok := Apply(from, Changes(from, to))
+		if !ok || !reflect.DeepEqual(applied, to) {
+			t.Fatalf("got %v, want %v", applied, to)
+		}
+	})
+}
+
+func TestDealtInTurn(t *testing.T) {
+	shape := Shape{Sets: 2, Experts: 7, Ranks: 3}
+	if got, ok := DealtInTurn(InTurn(shape)); !ok || got != shape {
+		t.Errorf("got %v, %v", got, ok)
+	}
+	other := InTurn(shape)
+	other[1][2] = []int{0}
+	if got, ok := DealtInTurn(other); ok || got != (Shape{}) {
+		t.Errorf("a map with another placement is taken for the first one: %v", got)
+	}
+}
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -33,6 +33,9 @@
 	// resendAfter is how long an order that shows no effect is waited for;
 	// engines on the same machine answer within a few ms.
 	resendAfter = 12 * time.Millisecond
+	// pendingLimit is how long the return of an order's call is waited for; calls
+	// have shorter limits of their own.
+	pendingLimit = time.Second
 	// copyResendAfter is the same for an order to copy, whose effect shows only
 	// when the copy is complete; a rank that copies says that it is busy.
 	copyResendAfter = 40 * time.Millisecond
@@ -91,6 +94,7 @@
 	Lists   topology.RankLists // Of State.MapVersion where the versions agree.
 	AskedAt time.Time          // When the report was asked for.
 	OrderAt time.Time          // When the last order was given.
+	Pending bool               // The call of the last order has not returned.
 }
 
 // New returns the state of a coordinator that has just taken the lease. It puts
@@ -111,6 +115,12 @@
 // EventName implements reduce.Event.
 func (RankRead) EventName() string { return "mapswitch.rank_read" }
 
+// Given tells that the call of an order has returned, whatever came of it.
+type Given struct{ Rank int }
+
+// EventName implements reduce.Event.
+func (Given) EventName() string { return "mapswitch.given" }
+
 // Planned brings the next map.
 type Planned struct {
 	Epoch int64
@@ -124,6 +134,10 @@
 type Give struct {
 	Rank  int
 	Order topology.Order
+	// From and FromVersion are the map in use where an order to copy builds on it;
+	// nil for others.
+	From        Map
+	FromVersion int64
 }
 
 // EffectName implements reduce.Effect.
@@ -148,6 +162,11 @@
 	switch event := input.Event.(type) {
 	case RankRead:
 		s, effects = s.read(event, input.Now)
+	case Given:
+		if rank, known := s.Ranks[event.Rank]; known {
+			rank.Pending = false
+			s.Ranks[event.Rank] = rank
+		}
 	case Planned:
 		if s.Phase == Idle && event.Epoch == s.Epoch {
 			s.Next = event.Map
@@ -326,7 +345,7 @@
 		return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: holder.State.HeldPass}, s.only(s.HoldRank))
 	case s.lastPass() >= s.HoldPass:
 		s.HoldPass = s.nextHold()
-		holder.OrderAt = time.Time{} // The hold before was refused, or came too late.
+		holder.OrderAt, holder.Pending = time.Time{}, false // The hold before was refused, or came too late.
 		s.Ranks[s.HoldRank] = holder
 	}
 	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
@@ -400,12 +419,17 @@
 	var effects []reduce.Effect
 	for id := range s.Size {
 		rank := s.Ranks[id]
-		if !needs(rank) || now.Sub(rank.OrderAt) < patience {
+		waits := now.Sub(rank.OrderAt)
+		if !needs(rank) || waits < patience || rank.Pending && waits < pendingLimit {
 			continue
 		}
-		rank.OrderAt = now
+		rank.OrderAt, rank.Pending = now, true
 		s.Ranks[id] = rank
-		effects = append(effects, Give{Rank: id, Order: order})
+		give := Give{Rank: id, Order: order}
+		if order.Kind == topology.Prepare && s.Current != nil {
+			give.From, give.FromVersion = s.Current, rank.State.MapVersion
+		}
+		effects = append(effects, give)
 	}
 	return effects
 }
@@ -454,7 +478,7 @@
 	effect := Moved{From: s.Phase, To: to, Epoch: s.Epoch, Version: s.Version, Pass: s.HoldPass, After: now.Sub(s.Since), Reason: reason}
 	s.Phase, s.Since = to, now
 	for id, rank := range s.Ranks {
-		rank.OrderAt = time.Time{}
+		rank.OrderAt, rank.Pending = time.Time{}, false
 		s.Ranks[id] = rank
 	}
 	return s, []reduce.Effect{effect}
--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -30,6 +30,7 @@
 				read := g.report(give.Rank)
 				read.Asked = *now
 				c.take(read, *now)
+				c.take(Given{Rank: give.Rank}, *now)
 			}
 		}
 		if err := g.begin(); err != nil {
@@ -210,5 +211,8 @@
 				c.take(read, now)
 			}
 		}
+		if rapid.IntRange(0, 3).Draw(t, "call returns") > 0 {
+			c.take(Given{Rank: give.Rank}, now)
+		}
 	}
 }
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -21,6 +21,13 @@
 const (
 	// callTimeout bounds one call to an agent with its calls to the engine.
 	callTimeout = 300 * time.Millisecond
+	// countedRanks is how many ranks' counts are read in one round. Requests are
+	// spread over all ranks alike, so a part of a large group tells the demand of
+	// all, and the link of the coordinator's machine holds it.
+	countedRanks = 12
+	// listsInterval bounds how often an engine's lists are read from afar, which
+	// makes its group pause.
+	listsInterval = time.Second
 	// readInterval is how often every rank is read, which tells the agents too
 	// that the coordinator lives.
 	readInterval = 100 * time.Millisecond
@@ -47,6 +54,7 @@
 	mu        sync.Mutex
 	addresses map[int]Member // Of the ranks of the epoch.
 	epoch     int64
+	listsAt   time.Time // When an engine's lists were last read from afar.
 }
 
 // Member is a backend server of a group and the agent beside it.
@@ -83,6 +91,7 @@
 // readAll reads every member at each interval.
 func (c *coordinator) readAll(ctx context.Context) {
 	var countsAt time.Time
+	round := 0 // Index of the first rank whose counts are read.
 	for ctx.Err() == nil {
 		interval, lists := readInterval, true
 		if view := c.loop.View(); view != nil {
@@ -95,8 +104,13 @@
 		if counts {
 			countsAt = time.Now()
 		}
-		for _, member := range c.allMembers() {
-			go c.read(ctx, member, lists, counts)
+		members := c.allMembers()
+		for i, member := range members {
+			counted := counts && (i+len(members)-round)%len(members) < countedRanks
+			go c.read(ctx, member, lists, counted)
+		}
+		if counts && len(members) > 0 {
+			round = (round + countedRanks) % len(members)
 		}
 		wait.For(ctx, interval)
 	}
@@ -132,18 +146,29 @@
 		if c.resigned(err) || !c.isRank(member) {
 			return
 		}
-		args.Counts = false // Counts read from afar make the group pause.
+		// Counts read from afar make the group pause, and so do lists.
 		reply = ReadReply{}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		if err := readInto(callCtx, c.direct(member.Server), args, &reply); err != nil {
+		if err := readInto(callCtx, c.direct(member.Server), lists && c.mayReadLists(), &reply); err != nil {
 			return // Nothing is concluded from silence.
 		}
 	}
 	c.learn(member, reply.State, reply.Lists, asked)
-	if reply.Counts.Counts != nil && reply.Counts.Epoch == reply.State.Epoch {
-		c.planner.observe(reply.State.Rank, reply.Counts, time.Now())
+	if reply.Gains != nil {
+		c.planner.observe(rankGains{packed: reply.Gains, elapsed: reply.Elapsed})
+	}
+}
+
+// mayReadLists reports whether an engine's lists may be read from afar now.
+func (c *coordinator) mayReadLists() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.listsAt) < listsInterval {
+		return false
 	}
+	c.listsAt = time.Now()
+	return true
 }
 
 // learn passes a rank's report on.
@@ -181,7 +206,7 @@
 		member, ok := c.addresses[effect.Rank]
 		c.mu.Unlock()
 		if ok {
-			go c.give(ctx, member, effect.Order)
+			go c.give(ctx, member, effect)
 		}
 	case mapswitch.Moved:
 		c.counters.Entered(effect.To.String())
@@ -195,11 +220,11 @@
 // give passes an order to a rank. Orders that copy or arm may go to the engine
 // itself where the agent is away; a hold is only put and released beside the
 // coordinator, whose agent knows whether it has been succeeded.
-func (c *coordinator) give(ctx context.Context, member Member, order topology.Order) {
-	asked := time.Now()
+func (c *coordinator) give(ctx context.Context, member Member, give mapswitch.Give) {
+	asked, order := time.Now(), give.Order
+	defer c.loop.Post(mapswitch.Given{Rank: give.Rank})
 	var reply GiveReply
-	err := c.call(ctx, member.Agent, methodGive, GiveArgs{Caller: c.caller(), Order: order}, &reply)
-	if err != nil {
+	if err := c.pass(ctx, member, give, &reply); err != nil {
 		if c.resigned(err) || order.Kind == topology.Hold || order.Kind == topology.Release {
 			c.logOrder(member, order, err.Error())
 			return
@@ -217,6 +242,26 @@
 	c.learn(member, reply.State, topology.RankLists{}, asked)
 }
 
+// pass passes an order to a rank's agent: where the agent knows the map in use,
+// what changes in it.
+func (c *coordinator) pass(ctx context.Context, member Member, give mapswitch.Give, reply *GiveReply) error {
+	args := GiveArgs{Caller: c.caller(), Order: give.Order}
+	if give.From != nil {
+		args.Base, args.Changes = give.FromVersion, mapswitch.Changes(give.From, give.Order.Map)
+		args.InTurn, _ = mapswitch.DealtInTurn(give.From)
+		args.Order.Map = nil
+		if !args.builds() {
+			return c.call(ctx, member.Agent, methodGive, GiveArgs{Caller: c.caller(), Order: give.Order}, reply)
+		}
+		if err := c.call(ctx, member.Agent, methodGive, args, reply); err != nil || !reply.UnknownBase {
+			return err
+		}
+		*reply = GiveReply{}
+		args = GiveArgs{Caller: c.caller(), Order: give.Order}
+	}
+	return c.call(ctx, member.Agent, methodGive, args, reply)
+}
+
 func (c *coordinator) logOrder(member Member, order topology.Order, problem string) {
 	logevent.Write(c.log, logevent.MapOrderFailed, logrus.Fields{
 		"group": c.group, "server": member.Server, "order": order.Kind.String(),
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -18,10 +18,9 @@
 	// planInterval is how often a new map is considered while none is under way: a
 	// fraction of a pass.
 	planInterval = 20 * time.Millisecond
-	// copyBudget is the number of experts that one change may bring to a rank: a
-	// few tenths of a second of copying, so that several changes fit between two
-	// jumps of demand.
-	copyBudget = 2
+	// copyPeriod is how long a rank may copy for one change, so that several
+	// changes fit between two jumps of demand.
+	copyPeriod = 200 * time.Millisecond
 	// expertPassShare is the share of a busy group's pass that experts take: a
 	// step of the users' engines has 4.8 ms besides, and 3 to 5 ms of token work,
 	// most of it the experts'.
@@ -36,28 +35,28 @@
 	engine func() *topology.Engine
 	log    *logrus.Entry
 	group  string
-	counts chan rankCounts
+	gains  chan rankGains
 	gauges *Metrics
 
 	demand *hotexperts.Demand
 }
 
-type rankCounts struct {
-	rank   int
-	counts topology.RankCounts
-	at     time.Time
+// rankGains is what the counts of one rank have gained.
+type rankGains struct {
+	packed  []byte
+	elapsed time.Duration
 }
 
 func newPlanner(engine func() *topology.Engine, group string, log *logrus.Entry, gauges *Metrics) *planner {
 	const queued = 256 // A few rounds of a large group.
-	return &planner{engine: engine, group: group, log: log, counts: make(chan rankCounts, queued), gauges: gauges}
+	return &planner{engine: engine, group: group, log: log, gains: make(chan rankGains, queued), gauges: gauges}
 }
 
-// observe takes in a rank's counts; where the planner is behind they are left
-// out, and the next ones hold their difference.
-func (p *planner) observe(rank int, counts topology.RankCounts, at time.Time) {
+// observe takes in a rank's gains. Where the planner is far behind they are left
+// out; others tell the same demand.
+func (p *planner) observe(gains rankGains) {
 	select {
-	case p.counts <- rankCounts{rank: rank, counts: counts, at: at}:
+	case p.gains <- gains:
 	default:
 	}
 }
@@ -67,8 +66,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case seen := <-p.counts:
-			p.take(seen)
+		case gains := <-p.gains:
+			p.take(gains)
 		case <-ticker.C:
 			p.plan(control)
 		case <-ctx.Done():
@@ -77,15 +76,20 @@
 	}
 }
 
-func (p *planner) take(seen rankCounts) {
+func (p *planner) take(gains rankGains) {
 	engine := p.engine()
 	if engine == nil {
 		return
 	}
+	counts, err := hotexperts.UnpackCounts(gains.packed)
+	if err != nil {
+		p.log.WithError(err).Warn("a rank's counts can't be read")
+		return
+	}
 	if p.demand == nil {
 		p.demand = hotexperts.NewDemand(engine.Sets, engine.Experts)
 	}
-	p.demand.Observe(seen.rank, seen.counts.Epoch, seen.counts.Counts, seen.at)
+	p.demand.Observe(counts, gains.elapsed, countedRanks)
 }
 
 func (p *planner) plan(control *loop.Loop[mapswitch.State, view]) {
@@ -101,7 +105,7 @@
 		Ranks: state.Size, Places: engine.Places, Experts: engine.Experts, NewPerSet: engine.NewPerSet,
 		Slowness: state.Slowness,
 	}
-	plan := hotexperts.Decide(shape, state.Current, p.demand.Load(), copyBudget)
+	plan := hotexperts.Decide(shape, state.Current, p.demand.Load(), copyBudget(engine))
 	p.gauges.skew.Set(plan.SkewBefore)
 	if !plan.Pays(hotexperts.Costs{CopyTime: engine.CopyTime(), ExpertShare: expertPassShare}) {
 		return
@@ -113,3 +117,8 @@
 	})
 	control.Post(mapswitch.Planned{Epoch: state.Epoch, Map: plan.Map})
 }
+
+// copyBudget is the number of experts that one change may bring to a rank.
+func copyBudget(engine *topology.Engine) int {
+	return max(1, int(copyPeriod/max(time.Millisecond, engine.CopyTime())))
+}
--- a/server/mapcontrol/rank.go
+++ b/server/mapcontrol/rank.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"persimmonwind.dev/platform"
+	"persimmonwind.dev/policy/hotexperts"
+	"persimmonwind.dev/policy/mapswitch"
 	"persimmonwind.dev/policy/topology"
 )
 
@@ -45,21 +47,31 @@
 
 // ReadReply is what a rank knows.
 type ReadReply struct {
-	State  topology.RankState
-	Counts topology.RankCounts
-	Lists  topology.RankLists
+	State   topology.RankState
+	Gains   []byte        // Packed, since the counts were last read; nil the first time.
+	Elapsed time.Duration // In which they were gained.
+	Lists   topology.RankLists
 }
 
 // GiveArgs pass an order to the rank.
 type GiveArgs struct {
 	Caller
 	Order topology.Order
+	// An order to copy may hold changes instead of a map: to the map of version
+	// Base, or to the one with which a group of the shape begins.
+	Base    int64
+	InTurn  mapswitch.Shape
+	Changes []mapswitch.Change
 }
 
+// builds reports whether the order holds changes.
+func (a GiveArgs) builds() bool { return a.Base != 0 || a.InTurn.Sets != 0 }
+
 // GiveReply is the rank's state after the order.
 type GiveReply struct {
-	State   topology.RankState
-	Problem string // Empty where the engine accepted the order.
+	State       topology.RankState
+	Problem     string // Empty where the engine accepted the order.
+	UnknownBase bool   // The agent doesn't know the map that the changes belong to.
 }
 
 // errFenced means that a newer coordinator has called.
@@ -72,10 +84,15 @@
 	mu      sync.Mutex
 	fence   uint64 // The highest seen.
 	heardAt time.Time
+	counts  topology.RankCounts // As last read.
+	readAt  time.Time
+	maps    map[int64]mapswitch.Map // By version: the last two that were to be copied.
 }
 
 // NewRank returns the receiver for the engine.
-func NewRank(engine Engine) *Rank { return &Rank{engine: engine, heardAt: time.Now()} }
+func NewRank(engine Engine) *Rank {
+	return &Rank{engine: engine, heardAt: time.Now(), maps: map[int64]mapswitch.Map{}}
+}
 
 // Read returns what the rank knows.
 func (r *Rank) Read(args ReadArgs, reply *ReadReply) error {
@@ -84,24 +101,39 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return readInto(ctx, r.engine, args, reply)
+	if args.Counts {
+		counts, err := r.engine.Counts(ctx)
+		if err != nil {
+			return fmt.Errorf("read counts: %w", err)
+		}
+		reply.Gains, reply.Elapsed = r.gained(counts)
+	}
+	return readInto(ctx, r.engine, args.Lists, reply)
+}
+
+// gained returns what the counts have gained since they were last read in the
+// same epoch.
+func (r *Rank) gained(counts topology.RankCounts) ([]byte, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before, elapsed := r.counts, time.Since(r.readAt)
+	r.counts, r.readAt = counts, time.Now()
+	if before.Counts == nil || before.Epoch != counts.Epoch {
+		return nil, 0
+	}
+	return hotexperts.PackCounts(before.Counts, counts.Counts), elapsed
 }
 
 // readInto reads the engine.
-func readInto(ctx context.Context, engine Engine, args ReadArgs, reply *ReadReply) error {
+func readInto(ctx context.Context, engine Engine, lists bool, reply *ReadReply) error {
 	var err error
-	if args.Lists {
+	if lists {
 		// Before the report, so that lists of a version that the report shows are
 		// not older than it.
 		if reply.Lists, err = engine.Lists(ctx); err != nil {
 			return fmt.Errorf("read lists: %w", err)
 		}
 	}
-	if args.Counts {
-		if reply.Counts, err = engine.Counts(ctx); err != nil {
-			return fmt.Errorf("read counts: %w", err)
-		}
-	}
 	if reply.State, err = engine.Report(ctx); err != nil {
 		return fmt.Errorf("read report: %w", err)
 	}
@@ -113,9 +145,45 @@
 	if err := r.admit(args.Caller); err != nil {
 		return err
 	}
+	order := args.Order
+	if order.Kind == topology.Prepare {
+		next, ok := r.nextMap(args)
+		if !ok {
+			reply.UnknownBase = true
+			return nil
+		}
+		order.Map = next
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return giveInto(ctx, r.engine, args.Order, reply)
+	return giveInto(ctx, r.engine, order, reply)
+}
+
+// nextMap returns the whole map of an order to copy and remembers it.
+func (r *Rank) nextMap(args GiveArgs) (mapswitch.Map, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := args.Order.Map
+	if args.builds() {
+		base, known := r.maps[args.Base]
+		if args.InTurn.Sets != 0 {
+			base, known = mapswitch.InTurn(args.InTurn), true
+		}
+		if !known {
+			return nil, false
+		}
+		var ok bool
+		if next, ok = mapswitch.Apply(base, args.Changes); !ok {
+			return nil, false
+		}
+	}
+	for version := range r.maps {
+		if version != args.Base && version != args.Order.Version {
+			delete(r.maps, version)
+		}
+	}
+	r.maps[args.Order.Version] = next
+	return next, true
 }
 
 func giveInto(ctx context.Context, engine Engine, order topology.Order, reply *GiveReply) error {
