Keep no more idle connections than a backend server has room for

A plain service accepts 49 connections from all callers; eight kept by each of seven entries would have been 56.

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -214,7 +214,10 @@
 
 // send sends the request and relays the answer.
 func (c *call) send(ctx context.Context, service string, server topology.Candidate) (dispatch.Outcome, *result.Error) {
-	conn, err := c.gateway.pool.Get(ctx, server.Address, !c.route.Repeatable())
+	conn, err := c.gateway.pool.Get(ctx, upstream.Target{
+		Address: server.Address, Once: !c.route.Repeatable(),
+		MaxIdle: c.snapshot.Service(service).MaxConnections / (2 * assumedEntries),
+	})
 	if err != nil {
 		return dispatch.Unreached, result.Errorf(result.NoBackendServer, "%v", err)
 	}
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxIdlePerServer is the number of kept connections to one server; an
-	// entry has a few requests at a server at a time.
+	// maxIdlePerServer is the greatest number of kept connections to one server;
+	// an entry has a few requests at a server at a time.
 	maxIdlePerServer = 8
 	// defaultIdleLimit is how long a connection is kept where the server names
 	// no time.
@@ -36,11 +36,23 @@
 // could not be connected to.
 var ErrNotSent = errors.New("backend server can't be reached")
 
+// Target is where a request goes.
+type Target struct {
+	Address string
+	// Once says that the request can't be sent again, so a connection that was
+	// idle for long isn't used.
+	Once bool
+	// MaxIdle is how many connections to the server may be kept; all entries
+	// together must leave room under what the server accepts.
+	MaxIdle int
+}
+
 // Conn is a connection to a backend server.
 type Conn struct {
 	net.Conn
 	reader    *bufio.Reader
 	address   string
+	maxIdle   int
 	idleSince time.Time
 	idleLimit time.Duration
 	Reused    bool
@@ -60,30 +72,32 @@
 	return &Pool{dial: dial, idle: map[string][]*Conn{}}
 }
 
-// Get returns a kept connection that looks sound, or a new one. With once set
-// the request can't be sent again, so a connection that was idle for long isn't
-// used. It fails with ErrNotSent.
-func (p *Pool) Get(ctx context.Context, address string, once bool) (*Conn, error) {
+// Get returns a kept connection that looks sound, or a new one. It fails with
+// ErrNotSent.
+func (p *Pool) Get(ctx context.Context, target Target) (*Conn, error) {
 	for {
-		conn := p.takeIdle(address)
+		conn := p.takeIdle(target.Address)
 		if conn == nil {
 			break
 		}
 		idle := time.Since(conn.idleSince)
-		if idle < conn.idleLimit && (!once || idle < freshIdleLimit) && conn.quiet() {
+		if idle < conn.idleLimit && (!target.Once || idle < freshIdleLimit) && conn.quiet() {
 			conn.Reused = true
 			return conn, nil
 		}
 		discard(conn)
 	}
-	raw, err := p.dial(ctx, "tcp", address)
+	raw, err := p.dial(ctx, "tcp", target.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes), address: address, idleLimit: defaultIdleLimit}, nil
+	return &Conn{
+		Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes), address: target.Address,
+		maxIdle: min(max(1, target.MaxIdle), maxIdlePerServer), idleLimit: defaultIdleLimit,
+	}, nil
 }
 
 // Opened returns the number of connections opened so far.
@@ -99,7 +113,7 @@
 	p.mu.Lock()
 	list := append(p.idle[conn.address], conn)
 	var surplus *Conn
-	if len(list) > maxIdlePerServer {
+	if len(list) > conn.maxIdle {
 		surplus, list = list[0], list[1:]
 	}
 	p.idle[conn.address] = list
--- a/server/upstream/upstream_test.go
+++ b/server/upstream/upstream_test.go
@@ -74,7 +74,7 @@
 func do(pool *Pool, address, id string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	conn, err := pool.Get(ctx, address, false)
+	conn, err := pool.Get(ctx, Target{Address: address})
 	if err != nil {
 		return "", err
 	}
@@ -126,6 +126,22 @@
 		So(s.accepted.Load(), ShouldEqual, 1)
 	})
 
+	Convey("No more connections are kept than the server has room for", t, func() {
+		s := newStandIn(func(int, net.Conn, *bufio.Reader) {})
+		defer s.listener.Close()
+		pool := NewPool(Dial)
+		var conns []*Conn
+		for range 5 {
+			conn, err := pool.Get(context.Background(), Target{Address: s.address(), MaxIdle: 2})
+			So(err, ShouldBeNil)
+			conns = append(conns, conn)
+		}
+		for _, conn := range conns {
+			pool.Put(conn)
+		}
+		So(pool.idle[s.address()], ShouldHaveLength, 2)
+	})
+
 	Convey("A late second answer is not taken for the next request's", t, func() {
 		s := newStandIn(func(_ int, conn net.Conn, reader *bufio.Reader) {
 			for n := 1; ; n++ {
@@ -227,7 +243,7 @@
 		pool := NewPool(Dial)
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
-		conn, err := pool.Get(ctx, s.address(), false)
+		conn, err := pool.Get(ctx, Target{Address: s.address()})
 		So(err, ShouldBeNil)
 		_, err = pool.Do(ctx, conn, request("1"))
 		So(errors.Is(err, ErrBroken), ShouldBeTrue)
