--- /dev/null
+++ b/policy/dispatch/server.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"time"
+
+	"persimmonwind.dev/policy/topology"
+)
+
+const (
+	// blindLimit is the number of own requests at an engine whose load is not
+	// reported: three from each of four entries fill an engine's slots.
+	blindLimit = 3
+	// reportLife is the age up to which a report of a server's load counts;
+	// reports come about every 100 ms.
+	reportLife = time.Second
+
+	// lastResort is added to the load of a server that may have left, so that any
+	// other one with room comes first.
+	lastResort = 1 << 20
+	// slowLimit is the slowness from which a rank is given work only when all
+	// others are full: in lock-step its own part is in every pass of the group.
+	slowLimit = 1.25
+	// slowSurplus is more than the places of a server.
+	slowSurplus = 1 << 10
+	// moveLimit is the slowness from which resumable streams are moved off a
+	// rank: its base time alone is then half of the longest pause that users
+	// allow. A rank without requests does not slow its group.
+	moveLimit = 2.0
+)
+
+type server struct {
+	candidate topology.Candidate
+	own       int
+	others    int // Requests of other entries, as of reportAt.
+	reportAt  time.Time
+	closed    bool    // The server's group takes no work.
+	slowness  float64 // 1 for a usual server.
+	busyUntil time.Time
+	health    health
+	tokens    rampTokens
+}
+
+// Report is the load of a server as reported from beside it.
+type Report struct {
+	Queued int
+	Active int
+	Open   bool    // Its group takes work.
+	Pace   float64 // Over 1 for a slow server.
+}
+
+// Report takes in the load of a server.
+func (d *Desk) Report(id string, report Report, now time.Time) {
+	server := d.byID[id]
+	if server == nil {
+		return
+	}
+	server.others = max(0, report.Queued+report.Active-server.own)
+	server.closed, server.slowness, server.reportAt = !report.Open, max(1, report.Pace), now
+	d.pace.slowest = d.slowest(now)
+}
+
+// slowest returns the slowness of the slowest server that has requests, 1 for a
+// usual one.
+func (d *Desk) slowest(now time.Time) float64 {
+	slowest := 1.0
+	for _, server := range d.servers {
+		if server.fresh(now) && server.own+server.others > 0 {
+			slowest = max(slowest, server.slowness)
+		}
+	}
+	return slowest
+}
+
+// MoveOff reports whether resumable streams should go on at another server: this
+// one holds its whole group up, and most others would not.
+func (d *Desk) MoveOff(id string, now time.Time) bool {
+	server := d.byID[id]
+	if server == nil || d.pace.engine == nil || !server.fresh(now) || server.slowness < moveLimit {
+		return false
+	}
+	usual := 0
+	for _, other := range d.servers {
+		if other.fresh(now) && !other.closed && other.slowness < slowLimit {
+			usual++
+		}
+	}
+	return 2*usual > len(d.servers)
+}
+
+// reportedOpen returns whether most servers report that their group takes work,
+// and whether there are reports at all.
+func (d *Desk) reportedOpen(now time.Time) reportedState {
+	open, closed := 0, 0
+	for _, server := range d.servers {
+		switch {
+		case !server.fresh(now):
+		case server.closed:
+			closed++
+		default:
+			open++
+		}
+	}
+	switch {
+	case open+closed == 0:
+		return unreported
+	case open > closed:
+		return reportsOpen
+	default:
+		return reportsClosed
+	}
+}
+
+func (d *Desk) hasRoom(s *server, now time.Time) bool {
+	if now.Before(s.busyUntil) || s.closed && s.fresh(now) || s.health.excluded(now) {
+		return false
+	}
+	if !s.tokens.has(d.ramp, s.candidate.Cold(now), now) {
+		return false
+	}
+	if d.pace.engine != nil && !s.fresh(now) {
+		return s.own < blindLimit
+	}
+	return s.own+s.freshOthers(now) < max(1, s.candidate.Slots)
+}
+
+func (s *server) fresh(now time.Time) bool {
+	return !s.reportAt.IsZero() && now.Sub(s.reportAt) < reportLife
+}
+
+func (s *server) freshOthers(now time.Time) int {
+	if !s.fresh(now) {
+		return 0
+	}
+	return s.others
+}
+
+// writers returns the requests of all entries at the service, as far as known.
+func (d *Desk) writers(now time.Time) int {
+	total := 0
+	for _, server := range d.servers {
+		total += server.own + server.freshOthers(now)
+	}
+	return total
+}
