--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -58,12 +58,18 @@
 type Costs struct {
 	CopyTime    time.Duration // A rank's for one expert.
 	ExpertShare float64       // Share of a pass that is spent on experts.
+	Filled      float64       // Share of the group's places that are taken.
 }
 
 const (
 	// copySlowdown is the share by which the group's passes take longer while a
 	// rank copies, as the platform's engines say.
 	copySlowdown = 0.15
+	// lightLoad is the share of places below which passes are far shorter than
+	// the pauses that users allow, so only a large skew matters to them.
+	lightLoad = 0.5
+	// lightGain is the share of the skew that a change must save under light load.
+	lightGain = 0.15
 	// horizon is how long a map is taken to fit: demand jumps every 3 to 4 s, and
 	// the requests under way change within 2 s.
 	horizon = 2 * time.Second
@@ -75,7 +81,11 @@
 	if p.Copies == 0 || p.SkewBefore <= 0 {
 		return false
 	}
-	saved := (p.SkewBefore - p.SkewAfter) / p.SkewBefore * costs.ExpertShare * horizon.Seconds()
+	gain := (p.SkewBefore - p.SkewAfter) / p.SkewBefore
+	if costs.Filled < lightLoad && gain < lightGain {
+		return false
+	}
+	saved := gain * costs.ExpertShare * horizon.Seconds()
 	return saved > copySlowdown*float64(p.MostCopies)*costs.CopyTime.Seconds()
 }
 
--- a/policy/hotexperts/hotexperts_test.go
+++ b/policy/hotexperts/hotexperts_test.go
@@ -64,10 +64,14 @@
 		So(total/float64(jumps), ShouldBeLessThan, 1.15)
 	})
 	Convey("A change that saves less than its copies cost is not made", t, func() {
-		costs := Costs{CopyTime: 100 * time.Millisecond, ExpertShare: 0.4}
+		costs := Costs{CopyTime: 100 * time.Millisecond, ExpertShare: 0.4, Filled: 0.9}
 		So(Plan{Copies: 1, MostCopies: 1, SkewBefore: 1.18, SkewAfter: 1.17}.Pays(costs), ShouldBeFalse)
 		So(Plan{Copies: 24, MostCopies: 2, SkewBefore: 3, SkewAfter: 1.3}.Pays(costs), ShouldBeTrue)
 		So(Plan{SkewBefore: 3, SkewAfter: 3}.Pays(costs), ShouldBeFalse)
+		So(Plan{Copies: 4, MostCopies: 1, SkewBefore: 1.3, SkewAfter: 1.2}.Pays(costs), ShouldBeTrue)
+		costs.Filled = 0.2
+		So(Plan{Copies: 4, MostCopies: 1, SkewBefore: 1.3, SkewAfter: 1.2}.Pays(costs), ShouldBeFalse)
+		So(Plan{Copies: 24, MostCopies: 2, SkewBefore: 3, SkewAfter: 1.3}.Pays(costs), ShouldBeTrue)
 	})
 	Convey("An even load needs no copies", t, func() {
 		load := make([][]float64, usersSets)
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -318,6 +318,15 @@
 	return slowness
 }
 
+// Requests returns the number of requests at all ranks.
+func (s State) Requests() int {
+	total := 0
+	for _, rank := range s.Ranks {
+		total += rank.State.Active + rank.State.Queued
+	}
+	return total
+}
+
 func (s State) prepare(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
 	if now.Sub(s.Since) > prepareLimit {
 		s, moved := s.move(Survey, "ranks did not copy in time", now)
--- a/server/deployed/agent.go
+++ b/server/deployed/agent.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,14 +27,16 @@
 	settings platform.Settings
 	log      *logrus.Entry
 	registry *prometheus.Registry
-	follower *follower
+	store    *platform.Store
+	follower atomic.Pointer[follower] // Of the latest coordination; nil before the first.
 }
 
 // NewAgent returns an agent that has not started.
 func NewAgent(settings platform.Settings, log *logrus.Entry) *Agent {
-	a := &Agent{settings: settings, log: log, registry: newRegistry()}
-	a.follower = newFollower(settings, agentSettle, log, func(*topology.Snapshot) {})
-	return a
+	return &Agent{
+		settings: settings, log: log, registry: newRegistry(),
+		store: platform.NewStore(settings.StoreAddress, upstream.Dial),
+	}
 }
 
 // Run works until ctx ends.
@@ -47,8 +50,9 @@
 	}
 	engine := platform.NewEngine(a.settings.BackendServer, upstream.Dial)
 	maps := &mapcontrol.Agent{
-		Self: a.settings.Instance, Engine: engine, Store: a.follower.store,
+		Self: a.settings.Instance, Engine: engine, Store: a.store,
 		Direct:  directEngines(),
+		Follow:  a.follow,
 		Members: a.members, Model: a.model, Log: a.log, Metrics: mapcontrol.NewMetrics(a.registry),
 	}
 	maps.Prepare()
@@ -61,7 +65,6 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var group run.Group
-	group.Add(func() error { return a.follower.run(ctx) }, func(error) { stop() })
 	group.Add(func() error { return maps.Serve(calls) }, closer(calls))
 	group.Add(publisher.Serve, closer(reports))
 	group.Add(func() error { publisher.Run(ctx, a.settings.BackendServer, read); return nil }, func(error) { stop() })
@@ -86,9 +89,26 @@
 	}
 }
 
+// follow follows the store until ctx ends.
+func (a *Agent) follow(ctx context.Context) {
+	follower := newFollower(a.store, agentSettle, a.log, func(*topology.Snapshot) {})
+	a.follower.Store(follower)
+	// A follower ends without an error when its context does.
+	_ = follower.run(ctx)
+}
+
+// snapshot returns what the agent knows of the deployment; nil while it has not
+// coordinated.
+func (a *Agent) snapshot() *topology.Snapshot {
+	if follower := a.follower.Load(); follower != nil {
+		return follower.snapshot()
+	}
+	return nil
+}
+
 // members returns the backend servers of the own service with their agents.
 func (a *Agent) members() []mapcontrol.Member {
-	snapshot := a.follower.snapshot()
+	snapshot := a.snapshot()
 	if snapshot == nil {
 		return nil
 	}
@@ -103,7 +123,7 @@
 
 // model returns the cost model of the own service's engines, nil while unknown.
 func (a *Agent) model() *topology.Engine {
-	snapshot := a.follower.snapshot()
+	snapshot := a.snapshot()
 	if snapshot == nil || snapshot.Config == nil {
 		return nil
 	}
--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -18,6 +18,7 @@
 	"persimmonwind.dev/server/gateway"
 	"persimmonwind.dev/server/loadreport"
 	"persimmonwind.dev/server/logevent"
+	"persimmonwind.dev/server/upstream"
 	"persimmonwind.dev/server/wait"
 )
 
@@ -48,7 +49,7 @@
 	registry := newRegistry()
 	e := &Entry{settings: settings, log: log, registry: registry}
 	e.gateway = gateway.New(settings, log, gateway.NewMetrics(registry))
-	e.follower = newFollower(settings, entrySettle, log, e.gateway.Install)
+	e.follower = newFollower(platform.NewStore(settings.StoreAddress, upstream.Dial), entrySettle, log, e.gateway.Install)
 	return e
 }
 
--- a/server/deployed/topology.go
+++ b/server/deployed/topology.go
@@ -14,7 +14,6 @@
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/loop"
-	"persimmonwind.dev/server/upstream"
 	"persimmonwind.dev/server/watch"
 )
 
@@ -37,8 +36,8 @@
 }
 
 // newFollower returns a follower that passes each new snapshot to install.
-func newFollower(settings platform.Settings, settle time.Duration, log *logrus.Entry, install func(*topology.Snapshot)) *follower {
-	f := &follower{store: platform.NewStore(settings.StoreAddress, upstream.Dial), log: log, settle: settle}
+func newFollower(store *platform.Store, settle time.Duration, log *logrus.Entry, install func(*topology.Snapshot)) *follower {
+	f := &follower{store: store, log: log, settle: settle}
 	var previous *topology.Snapshot
 	var last topology.State
 	view := func(state topology.State) *topology.Snapshot {
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -58,10 +58,13 @@
 
 // Agent takes part in a group's map for the rank beside it.
 type Agent struct {
-	Self    string // Name of this instance.
-	Engine  Engine
-	Direct  func(address string) Engine // For ranks whose agent is away.
-	Store   Store
+	Self   string // Name of this instance.
+	Engine Engine
+	Direct func(address string) Engine // For ranks whose agent is away.
+	Store  Store
+	// Follow keeps Members and Model up to date until ctx ends. Only a coordinator
+	// needs them: calls to the store are priced.
+	Follow  func(ctx context.Context)
 	Members func() []Member // Of the group, leaving ones included.
 	Model   func() *topology.Engine
 	Log     *logrus.Entry
@@ -95,7 +98,7 @@
 			return
 		}
 		silence, seen := a.rank.silence()
-		if silence < silenceLimit || time.Now().Before(notBefore) || a.Model() == nil {
+		if silence < silenceLimit || time.Now().Before(notBefore) {
 			continue
 		}
 		state, err := a.Engine.Report(ctx)
@@ -124,5 +127,8 @@
 		fence: fence, group: state.Group, members: a.Members, peers: a.peers, direct: a.Direct, log: a.Log,
 		planner: newPlanner(a.Model, state.Group, a.Log, a.Metrics), counters: a.Metrics,
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go a.Follow(ctx)
 	c.run(ctx, state.Rank)
 }
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -72,6 +72,12 @@
 	Lists   bool
 
 	Slowness []float64 // By rank, as reported.
+	Requests int       // At all ranks, waiting ones included.
+}
+
+// filled returns the share of the group's places that are taken.
+func (v view) filled(engine *topology.Engine) float64 {
+	return float64(v.Requests) / float64(max(1, v.Size*engine.Slots))
 }
 
 // run coordinates until ctx ends or a newer coordinator has called an agent.
@@ -80,7 +86,7 @@
 	defer c.fenced()
 	c.addresses = map[int]Member{}
 	c.loop = loop.New(mapswitch.Step, func(s mapswitch.State) view {
-		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, Lists: s.NeedsLists(), Slowness: s.Slowness()}
+		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, Lists: s.NeedsLists(), Slowness: s.Slowness(), Requests: s.Requests()}
 	}, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -107,7 +107,7 @@
 	}
 	plan := hotexperts.Decide(shape, state.Current, p.demand.Load(), copyBudget(engine))
 	p.gauges.skew.Set(plan.SkewBefore)
-	if !plan.Pays(hotexperts.Costs{CopyTime: engine.CopyTime(), ExpertShare: expertPassShare}) {
+	if !plan.Pays(hotexperts.Costs{CopyTime: engine.CopyTime(), ExpertShare: expertPassShare, Filled: state.filled(engine)}) {
 		return
 	}
 	p.gauges.copies.Add(float64(plan.Copies))
