Take the plan with the least skew on average after a jump

Cause: after a jump of demand passes stay at 100 to 125 ms until the first change is in force, and one pass over 120 ms makes every stream of the group late. Two copies a rank take 0.1 s longer than one and bring little more at once.

--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -89,6 +89,30 @@
 	return saved > copySlowdown*float64(p.MostCopies)*costs.CopyTime.Seconds()
 }
 
+const (
+	// switchTime is what a change takes besides its copies: about two passes.
+	switchTime = 100 * time.Millisecond
+	// recovery is the time after a jump over which plans are compared: the group
+	// makes two or three changes in it.
+	recovery = 600 * time.Millisecond
+)
+
+// DecideSoonest returns, among the plans of up to budget copies a rank, the one
+// with the least skew on average over the time after a jump: fewer copies are in
+// force sooner, and another change follows.
+func DecideSoonest(shape Shape, current Map, load [][]float64, budget int, copyTime time.Duration) Plan {
+	best, bestCost := Plan{}, math.Inf(1)
+	for copies := budget; copies >= 1; copies /= 2 {
+		plan := Decide(shape, current, load, copies)
+		until := switchTime + time.Duration(plan.MostCopies)*copyTime
+		cost := plan.SkewBefore*until.Seconds() + plan.SkewAfter*max(0, recovery-until).Seconds()
+		if cost < bestCost {
+			best, bestCost = plan, cost
+		}
+	}
+	return best
+}
+
 // Decide improves the current map for the load by set and expert. No rank
 // copies more than budget experts. The current map is not changed.
 func Decide(shape Shape, current Map, load [][]float64, budget int) Plan {
--- a/policy/hotexperts/hotexperts_test.go
+++ b/policy/hotexperts/hotexperts_test.go
@@ -85,6 +85,33 @@
 	})
 }
 
+func TestSoonestPlan(t *testing.T) {
+	const copyTime = 100 * time.Millisecond
+	Convey("Right after a jump a plan of fewer copies is taken where it brings most of the gain sooner", t, func() {
+		fewer := 0
+		for seed := range uint64(20) {
+			load := topics(rand.New(rand.NewPCG(seed, 3)), usersShape, usersSets)
+			placement := inTurn(usersShape, usersSets)
+			whole := Decide(usersShape, placement, load, 3)
+			soonest := DecideSoonest(usersShape, placement, load, 3, copyTime)
+			if soonest.MostCopies < whole.MostCopies {
+				fewer++
+			}
+			cost := func(p Plan) float64 {
+				until := (switchTime + time.Duration(p.MostCopies)*copyTime).Seconds()
+				return p.SkewBefore*until + p.SkewAfter*(recovery.Seconds()-until)
+			}
+			So(cost(soonest), ShouldBeLessThanOrEqualTo, cost(whole))
+		}
+		So(fewer, ShouldBeGreaterThan, 0)
+	})
+	Convey("Where a copy takes no time all copies are made", t, func() {
+		load := topics(rand.New(rand.NewPCG(1, 3)), usersShape, usersSets)
+		placement := inTurn(usersShape, usersSets)
+		So(DecideSoonest(usersShape, placement, load, 3, 0).SkewAfter, ShouldEqual, Decide(usersShape, placement, load, 3).SkewAfter)
+	})
+}
+
 func TestSlowRank(t *testing.T) {
 	Convey("A rank three times as slow as usual keeps only what nobody asks for", t, func() {
 		for seed := range uint64(20) {
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -105,7 +105,7 @@
 		Ranks: state.Size, Places: engine.Places, Experts: engine.Experts, NewPerSet: engine.NewPerSet,
 		Slowness: state.Slowness,
 	}
-	plan := hotexperts.Decide(shape, state.Current, p.demand.Load(), copyBudget(engine))
+	plan := hotexperts.DecideSoonest(shape, state.Current, p.demand.Load(), copyBudget(engine), engine.CopyTime())
 	p.gauges.skew.Set(plan.SkewBefore)
 	if !plan.Pays(hotexperts.Costs{CopyTime: engine.CopyTime(), ExpertShare: expertPassShare, Filled: state.filled(engine)}) {
 		return
