--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -18,8 +18,9 @@
 	// silenceLimit is how long no coordinator has called before an agent tries
 	// to take the lease: several rounds of reads.
 	silenceLimit = 700 * time.Millisecond
-	// rankStagger keeps the ranks of a group from trying all at once.
-	rankStagger = 30 * time.Millisecond
+	// rankStagger keeps the ranks of a group from trying all at once: a new
+	// coordinator reads the list of servers before its first calls.
+	rankStagger = 100 * time.Millisecond
 	// watchInterval is how often an agent looks at the coordinator's silence.
 	watchInterval = 50 * time.Millisecond
 	// retryInterval follows a try for the lease that failed.
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -21,6 +21,8 @@
 	// copyPeriod is how long a rank may copy for one change, so that several
 	// changes fit between two jumps of demand.
 	copyPeriod = 200 * time.Millisecond
+	// takeUp is the time in which the control goroutine takes a plan up.
+	takeUp = 60 * time.Millisecond
 	// expertPassShare is the share of a busy group's pass that experts take: a
 	// step of the users' engines has 4.8 ms besides, and 3 to 5 ms of token work,
 	// most of it the experts'.
@@ -38,7 +40,8 @@
 	gains  chan rankGains
 	gauges *Metrics
 
-	demand *hotexperts.Demand
+	demand   *hotexperts.Demand
+	postedAt time.Time // When the latest plan was handed over.
 }
 
 // rankGains is what the counts of one rank have gained.
@@ -98,7 +101,7 @@
 	if state == nil || engine == nil || p.demand == nil || state.Phase != mapswitch.Idle || state.Current == nil {
 		return
 	}
-	if p.demand.Choices() < minChoices {
+	if p.demand.Choices() < minChoices || time.Since(p.postedAt) < takeUp {
 		return
 	}
 	shape := hotexperts.Shape{
@@ -110,6 +113,7 @@
 	if !plan.Pays(hotexperts.Costs{CopyTime: engine.CopyTime(), ExpertShare: expertPassShare, Filled: state.filled(engine)}) {
 		return
 	}
+	p.postedAt = time.Now()
 	p.gauges.copies.Add(float64(plan.Copies))
 	logevent.Write(p.log, logevent.MapPlanned, logrus.Fields{
 		"group": p.group, "epoch": state.Epoch, "copies": plan.Copies, "most_copies": plan.MostCopies,
