Notice a lost answer of the store within 2.5 s

Cause: while the store loses answers, a lost answer leaves a connection that lives and delivers nothing; probes don't show it, and a poll waited 25 s, so an entry served with a configuration of 5 s ago. Ruled out by a trace of the polls: a wrong version to go on from, a rejected row. Change: polls wait 1.8 s, with 0.7 s for a slow store. The test fails before.

--- a/server/watch/watch.go
+++ b/server/watch/watch.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// pollWait is how long a poll waits for a change, the longest that the store
-	// allows but for a margin. Calls are priced, and a silent connection is found
-	// by its probes, not by this.
-	pollWait = 25 * time.Second
+	// pollWait is how long a poll waits for a change. An answer that is lost leaves
+	// a connection that lives and delivers nothing, which only the end of the wait
+	// shows; with the slack for a slow store that is 2.5 s, less than the 3 s after
+	// a disturbance within which a process must be up to date again.
+	pollWait = 1800 * time.Millisecond
 	// The pause after a failed call doubles: refused calls are priced too.
 	firstPause = 100 * time.Millisecond
 	maxPause   = time.Second
--- a/server/watch/watch_test.go
+++ b/server/watch/watch_test.go
@@ -4,7 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,3 +112,47 @@
 		So(events, ShouldResemble, []string{listed, gone, read})
 	})
 }
+
+func TestLostAnswer(t *testing.T) {
+	Convey("A change whose answer was lost is known within 3 s", t, func() {
+		const gone = `{"rows":[{"key":"x","deleted":true,"schema_version":6}],"schema_version":6}`
+		var feeds atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case !r.URL.Query().Has("wait_ms"):
+				_, _ = io.WriteString(w, `{"rows":[],"schema_version":5}`)
+			case feeds.Add(1) == 1:
+				<-r.Context().Done() // The connection lives and delivers nothing.
+			default:
+				_, _ = io.WriteString(w, gone)
+				<-r.Context().Done()
+			}
+		}))
+		defer server.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		posted := make(chan reduce.Event, 10)
+		dial := (&net.Dialer{}).DialContext
+		w := &Watch{
+			Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), dial), Table: platform.TableServers,
+			Log: logrus.NewEntry(log), Post: func(event reduce.Event) { posted <- event },
+		}
+		go w.Run(ctx)
+		deadline := time.After(5 * time.Second)
+		started := time.Now()
+		for {
+			select {
+			case event := <-posted:
+				if _, ok := event.(topology.ServerGone); ok {
+					So(time.Since(started), ShouldBeLessThan, 3*time.Second)
+					return
+				}
+			case <-deadline:
+				t.Error("the change is not known")
+				return
+			}
+		}
+	})
+}
