--- a/server/watch/watch_test.go
+++ b/server/watch/watch_test.go
@@ -121,11 +121,10 @@
 			switch {
 			case !r.URL.Query().Has("wait_ms"):
 				_, _ = io.WriteString(w, `{"rows":[],"schema_version":5}`)
-			case feeds.Add(1) == 1:
-				<-r.Context().Done() // The connection lives and delivers nothing.
-			default:
+			case feeds.Add(1) == 2:
 				_, _ = io.WriteString(w, gone)
-				<-r.Context().Done()
+			default:
+				<-r.Context().Done() // The connection lives and delivers nothing.
 			}
 		}))
 		defer server.Close()
