Let a successor read ranks whose agent is away

Cause: a successor's survey waited for the agent of the machine that had been killed, because only known ranks were read from the engine itself.

--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -149,7 +149,9 @@
 	args := ReadArgs{Caller: c.caller(), Counts: counts, Lists: lists}
 	var reply ReadReply
 	if err := c.call(ctx, member.Agent, methodRead, args, &reply); err != nil {
-		if c.resigned(err) || !c.isRank(member) {
+		// A successor must read every rank before it knows them, also one whose
+		// agent is away: the group may rest until it has.
+		if c.resigned(err) || !lists && !c.isRank(member) {
 			return
 		}
 		// Counts read from afar make the group pause, and so do lists.
--- a/server/mapcontrol/mapcontrol_test.go
+++ b/server/mapcontrol/mapcontrol_test.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/policy/mapswitch"
+	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/server/loop"
+	"persimmonwind.dev/server/rpc"
 )
 
 // rowStore holds one row; lose makes the answer of the next write get lost.
@@ -156,3 +161,21 @@
 		So(rank.heardAt, ShouldEqual, before)
 	})
 }
+
+func TestAgentAway(t *testing.T) {
+	Convey("A successor reads a rank whose agent is away from the engine itself", t, func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c := &coordinator{
+			fence: 2, group: "g", peers: rpc.NewPool(nil), log: logrus.NewEntry(log), addresses: map[int]Member{},
+			direct: func(string) Engine { return &countingEngine{} },
+			fenced: func() {},
+		}
+		c.loop = loop.New(mapswitch.Step, func(mapswitch.State) view { return view{} }, func(reduce.Effect) {}, nil)
+		away := Member{Server: "127.0.0.1:1", Agent: "127.0.0.1:1"}
+		c.read(context.Background(), away, false, false)
+		So(c.addresses, ShouldBeEmpty) // Nothing says that it is a rank of the group.
+		c.read(context.Background(), away, true, false)
+		So(c.addresses[0], ShouldResemble, away)
+	})
+}
