--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -183,7 +183,7 @@
 		return Decision{}, false
 	}
 	total := d.writers(now)
-	d.limit = d.pace.limit(len(d.servers), total)
+	d.limit = d.pace.limit(len(d.servers))
 	if d.limit > 0 && total >= d.limit {
 		return Decision{}, false
 	}
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -68,7 +68,7 @@
 
 // limit returns how many requests may be at the group's servers, 0 for no
 // bound.
-func (p *Pace) limit(servers, _ int) int {
+func (p *Pace) limit(servers int) int {
 	if p.engine == nil || p.goal <= 0 || servers == 0 {
 		return 0
 	}
--- a/policy/topology/configuration.go
+++ b/policy/topology/configuration.go
@@ -61,25 +61,16 @@
 
 // Engine is the cost model of a service's model engines.
 type Engine struct {
-	Slots          int     // Requests that write at once on one server.
-	MemoryTokens   int     // Tokens that a server's memory holds.
-	Stride         int     // Token steps in a pass that has writers.
-	StepMS         float64 // Base time of a token step.
-	PerSequenceMS  float64 // Added to a step by each writing request.
-	ContextPerKMS  float64 // Added to a step by each 1,000 tokens of context.
-	ReadPerSecond  float64 // Prompt tokens read in a second.
-	PairsPerMMS    float64 // Added by each million pairs of a prompt token and an earlier one.
-	Chunk          int     // Prompt tokens read in one step at most.
-	UsualPrompt    float64 // Mean tokens of a prompt.
-	UsualAnswer    float64 // Mean tokens of an answer.
-	LinkMbps       float64 // Of the link over which experts are copied.
-	Sets           int     // Sets of layers that share an expert placement.
-	Experts        int     // In each set.
-	Places         int     // Experts that a rank holds in each set.
-	NewPerSet      int     // Experts that one change may bring to a rank in each set.
-	ExpertMB       float64 // Size of an expert.
-	ExpertShare    float64 // Share of the token work that experts do.
-	FormationDelay time.Duration
+	Slots         int     // Requests that write at once on one server.
+	Stride        int     // Token steps in a pass that has writers.
+	StepMS        float64 // Base time of a token step.
+	PerSequenceMS float64 // Added to a step by each writing request.
+	LinkMbps      float64 // Of the link over which experts are copied.
+	Sets          int     // Sets of layers that share an expert placement.
+	Experts       int     // In each set.
+	Places        int     // Experts that a rank holds in each set.
+	NewPerSet     int     // Experts that one change may bring to a rank in each set.
+	ExpertMB      float64 // Size of an expert.
 }
 
 // CopyTime returns how long a rank copies one expert.
--- a/policy/topology/rank.go
+++ b/policy/topology/rank.go
@@ -2,12 +2,11 @@
 
 // RankState is what a rank of a group says of itself.
 type RankState struct {
-	Group    string
-	Epoch    int64 // Counts the formations of the group.
-	Rank     int
-	Size     int  // Ranks in the group.
-	Open     bool // The group takes work; false while it forms.
-	Sequence int64
+	Group string
+	Epoch int64 // Counts the formations of the group.
+	Rank  int
+	Size  int  // Ranks in the group.
+	Open  bool // The group takes work; false while it forms.
 
 	Pass         int64 // The last pass that began.
 	MapVersion   int64 // In use.
@@ -17,10 +16,9 @@
 	HeldPass     int64 // The pass that does not begin before its release; 0 for none.
 	OrderRunning bool
 
-	Queued     int
-	Active     int
-	MemoryUsed int // Tokens that cannot yield.
-	Pace       float64
+	Queued int
+	Active int
+	Pace   float64
 }
 
 // RankLists are the experts of a rank by set.
--- a/policy/topology/snapshot.go
+++ b/policy/topology/snapshot.go
@@ -15,7 +15,6 @@
 	byKey        map[string]*Organisation
 	servers      map[string][]Candidate // Usable ones by service, in order of their id.
 	listed       map[string][]Server    // All by service, in order of their id.
-	usable       map[string]bool        // Ids of usable servers.
 }
 
 // Candidate is a backend server that may get new work.
@@ -34,20 +33,19 @@
 	snapshot := &Snapshot{
 		Config:  s.Config,
 		Ready:   s.Config != nil && s.ServersListed,
-		servers: map[string][]Candidate{}, usable: map[string]bool{}, listed: map[string][]Server{},
+		servers: map[string][]Candidate{}, listed: map[string][]Server{},
 	}
 	if previous != nil && previous.Config == s.Config {
 		snapshot.routesByHost, snapshot.byKey = previous.routesByHost, previous.byKey
 	} else if s.Config != nil {
 		snapshot.index()
 	}
-	for id, server := range s.latestAtAddress() {
+	for _, server := range s.latestAtAddress() {
 		service := server.Server.Service
 		snapshot.listed[service] = append(snapshot.listed[service], server.Server)
 		if server.Server.Leaving || s.TakenOut[server.Server.DataCentre] {
 			continue
 		}
-		snapshot.usable[id] = true
 		snapshot.servers[service] = append(snapshot.servers[service], Candidate{
 			Server: server.Server, ColdUntil: server.ColdUntil, Unlisted: !server.VanishAt.IsZero(),
 		})
@@ -132,9 +130,6 @@
 // The caller must not change the slice.
 func (s *Snapshot) Listed(service string) []Server { return s.listed[service] }
 
-// Usable reports whether the server may get new work.
-func (s *Snapshot) Usable(id string) bool { return s.usable[id] }
-
 // Pick returns the target that the random number in [0, 1) falls on.
 func (r *Route) Pick(random float64) string {
 	total := 0
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -49,9 +49,8 @@
 	route    *topology.Route
 	body     []byte
 
-	organisation   *topology.Organisation // Nil for public routes.
-	callerDeadline time.Time
-	deadline       time.Time // The caller's, or the route's timeout if that is sooner.
+	organisation *topology.Organisation // Nil for public routes.
+	deadline     time.Time              // The caller's, or the route's timeout if that is sooner.
 
 	sends     int    // Attempts that reached a connection.
 	runs      int    // Attempts that may have run.
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -167,7 +167,6 @@
 	if limit <= 0 {
 		limit = usualDeadline
 	}
-	c.callerDeadline = c.arrived.Add(limit)
 	if c.route.Timeout > 0 && c.route.Timeout < limit {
 		limit = c.route.Timeout
 	}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 )
 
 const (
@@ -163,6 +162,3 @@
 		return false
 	}
 }
-
-// SetReadDeadline bounds the wait for the answer's next bytes.
-func (e *Exchange) SetReadDeadline(at time.Time) error { return e.conn.SetReadDeadline(at) }
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -62,9 +62,8 @@
 type Pool struct {
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mu     sync.Mutex
-	idle   map[string][]*Conn // The most recently used last.
-	opened int64
+	mu   sync.Mutex
+	idle map[string][]*Conn // The most recently used last.
 }
 
 // NewPool returns an empty pool.
@@ -91,22 +90,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &Conn{
 		Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes), address: target.Address,
 		maxIdle: min(max(1, target.MaxIdle), maxIdlePerServer), idleLimit: defaultIdleLimit,
 	}, nil
 }
 
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // Put keeps the connection for a later request.
 func (p *Pool) Put(conn *Conn) {
 	conn.idleSince = time.Now()
