--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -31,7 +31,7 @@
 	slowest float64 // Slowness of the group's slowest server; 0 while unknown.
 	slope   float64 // Seconds that one writing request of the group adds to a pass.
 	seenAt  time.Time
-	pass    time.Duration // Smoothed, for the log.
+	pass    time.Duration // Smoothed duration of a pass.
 }
 
 func (p *Pace) configure(engine *topology.Engine, goal time.Duration) {
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -33,12 +33,12 @@
 	// resendAfter is how long an order that shows no effect is waited for;
 	// engines on the same machine answer within a few ms.
 	resendAfter = 12 * time.Millisecond
-	// pendingLimit is how long the return of an order's call is waited for; calls
-	// have shorter limits of their own.
-	pendingLimit = time.Second
 	// copyResendAfter is the same for an order to copy, whose effect shows only
 	// when the copy is complete; a rank that copies says that it is busy.
 	copyResendAfter = 40 * time.Millisecond
+	// pendingLimit is how long the return of an order's call is waited for; calls
+	// have shorter limits of their own.
+	pendingLimit = time.Second
 	// prepareLimit is how long ranks may copy before the version is given up; a
 	// change brings each rank a few experts of about 0.1 s each.
 	prepareLimit = 4 * time.Second
