--- /dev/null
+++ b/policy/mapswitch/phases.go
@@ -0,0 +1,150 @@
+package mapswitch
+
+import (
+	"time"
+
+	"persimmonwind.dev/policy/reduce"
+	"persimmonwind.dev/policy/topology"
+)
+
+// survey finds out where a predecessor, or an earlier epoch, has left the
+// group.
+func (s State) survey(now time.Time) (State, []reduce.Effect) {
+	held, armed := -1, -1
+	for id, rank := range s.Ranks {
+		if rank.State.HeldPass != 0 {
+			held = id
+		}
+		if rank.State.Armed != 0 {
+			armed = id
+		}
+	}
+	switch {
+	case armed >= 0:
+		s.Version, s.HoldPass = s.Ranks[armed].State.Armed, s.Ranks[armed].State.ArmedPass
+		s.Next = nil
+		return s.move(Arming, "a predecessor has armed a rank", now)
+	case held >= 0:
+		current, ok := s.lists()
+		if !ok {
+			return s, nil
+		}
+		s.HoldPass = s.Ranks[held].State.HeldPass
+		s.Version, s.Next = s.nextVersion(), current
+		return s.move(Fencing, "a predecessor has left a hold", now)
+	}
+	current, ok := s.lists()
+	if !ok {
+		return s, nil
+	}
+	s.Current = current
+	return s.move(Idle, "all ranks read", now)
+}
+
+// lists puts the map in use together from the ranks' lists.
+func (s State) lists() (Map, bool) {
+	var current Map
+	for id := range s.Size {
+		rank := s.Ranks[id]
+		if rank.Lists.Experts == nil || rank.Lists.MapVersion != rank.State.MapVersion || rank.State.MapVersion != s.Ranks[0].State.MapVersion {
+			return nil, false
+		}
+		if current == nil {
+			current = make(Map, len(rank.Lists.Experts))
+		}
+		for set, experts := range rank.Lists.Experts {
+			current[set] = append(current[set], experts)
+		}
+	}
+	return current, true
+}
+
+func (s State) prepare(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	if now.Sub(s.Since) > prepareLimit {
+		s, moved := s.move(Survey, "ranks did not copy in time", now)
+		return s, moved, nil
+	}
+	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version }) {
+		s.HoldPass = s.nextHold()
+		s, moved := s.move(Holding, "all ranks prepared", now)
+		return s, moved, nil
+	}
+	orders := s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
+		func(r Rank) bool { return r.State.Prepared != s.Version && !r.State.OrderRunning })
+	s.lossy = s.lossy || len(orders) > 0 && now.After(s.Since)
+	return s, nil, orders
+}
+
+func (s State) hold(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	holder := s.Ranks[s.HoldRank]
+	switch {
+	case holder.State.HeldPass == s.HoldPass:
+		s, moved := s.move(Arming, "hold is in place", now)
+		return s, moved, nil
+	case holder.State.HeldPass != 0:
+		// An earlier hold of this lease took effect late; no rank was armed for it.
+		return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: holder.State.HeldPass}, s.only(s.HoldRank))
+	case s.lastPass() >= s.HoldPass:
+		s.HoldPass = s.nextHold()
+		holder.OrderAt, holder.Pending = time.Time{}, false // The hold before was refused, or came too late.
+		s.Ranks[s.HoldRank] = holder
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
+}
+
+func (s State) arm(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	armed := func(r Rank) bool {
+		return r.State.MapVersion == s.Version || r.State.Armed == s.Version && r.State.ArmedPass == s.HoldPass
+	}
+	if s.all(armed) {
+		s, moved := s.move(Releasing, "all ranks armed", now)
+		return s, moved, nil
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Arm, Version: s.Version, Pass: s.HoldPass},
+		func(r Rank) bool { return !armed(r) })
+}
+
+func (s State) release(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	if s.all(func(r Rank) bool { return r.State.HeldPass == 0 }) {
+		s, moved := s.move(Settling, "released", now)
+		return s, moved, nil
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: s.HoldPass},
+		func(r Rank) bool { return r.State.HeldPass != 0 })
+}
+
+// settle waits until the group has begun the pass; an idle group has none.
+func (s State) settle(now time.Time) (State, []reduce.Effect) {
+	if !s.all(func(r Rank) bool { return r.State.MapVersion == s.Version && r.State.Armed == 0 }) {
+		return s, nil
+	}
+	if s.Next == nil {
+		return s.move(Survey, "a predecessor's change is in force", now)
+	}
+	s.Current, s.Next = s.Next, nil
+	return s.move(Idle, "in force", now)
+}
+
+// fence prepares a new version at all ranks: a predecessor's order to arm for
+// the held pass then names a version that is no longer prepared.
+func (s State) fence(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version && r.State.Armed == 0 }) {
+		s.Current, s.Next = s.Next, nil
+		s, moved := s.move(Idle, "predecessor's orders are void", now) // The hold is released there.
+		return s, moved, nil
+	}
+	return s, nil, s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
+		func(r Rank) bool { return r.State.Prepared != s.Version && !r.State.OrderRunning })
+}
+
+// releaseStray releases holds whose order took effect late.
+func (s State) releaseStray(now time.Time) (State, []reduce.Effect) {
+	var effects []reduce.Effect
+	for id, rank := range s.Ranks {
+		if rank.State.HeldPass == 0 {
+			continue
+		}
+		effects = append(effects, s.order(now, topology.Order{Kind: topology.Release, Pass: rank.State.HeldPass}, s.only(id))...)
+	}
+	return s, effects
+}
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -62,7 +62,7 @@
 // which its context tells too.
 func (c *call) write(data []byte) {
 	if _, err := c.writer.Write(data); err != nil {
-		c.log.WithError(err).Debug("caller's connection broke off")
+		logevent.Write(c.log, logevent.CallerGone, logrus.Fields{"error": err.Error()})
 	}
 }
 
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -11,9 +11,12 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/result"
+	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/upstream"
 )
 
@@ -87,7 +90,7 @@
 func (c *call) passEvent(event []byte, id string) {
 	c.write(event)
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
-		c.log.WithError(err).Debug("caller's connection broke off")
+		logevent.Write(c.log, logevent.CallerGone, logrus.Fields{"error": err.Error()})
 	}
 	c.events++
 	if id != "" {
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -16,12 +16,14 @@
 	RequestEnded   = define(320, "request_ended", logrus.InfoLevel, "A request was answered or given up on.")
 	RequestPlaced  = define(321, "request_placed", logrus.InfoLevel, "A request was given a backend server, told to wait, or refused.")
 	AttemptFailed  = define(322, "attempt_failed", logrus.InfoLevel, "A backend server did not answer a request in full; the decision about another attempt is given.")
+	CallerGone     = define(324, "caller_gone", logrus.DebugLevel, "The caller's connection broke off while its answer was written.")
 	HeaderRejected = define(323, "header_rejected", logrus.WarnLevel, "A caller's header can't be read; the request goes on without it.")
 )
 
 // Leases of the expert maps' coordinators.
 var (
-	LeaseTaken  = define(410, "lease_taken", logrus.InfoLevel, "The agent coordinates its group's expert map from now on.")
-	LeaseLeft   = define(411, "lease_left", logrus.InfoLevel, "The agent no longer coordinates its group's expert map.")
-	LeaseFailed = define(412, "lease_failed", logrus.WarnLevel, "The lease of a group could not be taken; it is tried again.")
+	LeaseTaken       = define(410, "lease_taken", logrus.InfoLevel, "The agent coordinates its group's expert map from now on.")
+	LeaseLeft        = define(411, "lease_left", logrus.InfoLevel, "The agent no longer coordinates its group's expert map.")
+	CountsUnreadable = define(413, "counts_unreadable", logrus.WarnLevel, "A rank's counts can't be read; others tell the same demand.")
+	LeaseFailed      = define(412, "lease_failed", logrus.WarnLevel, "The lease of a group could not be taken; it is tried again.")
 )
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -86,7 +86,7 @@
 	}
 	counts, err := hotexperts.UnpackCounts(gains.packed)
 	if err != nil {
-		p.log.WithError(err).Warn("a rank's counts can't be read")
+		logevent.Write(p.log, logevent.CountsUnreadable, logrus.Fields{"group": p.group, "error": err.Error()})
 		return
 	}
 	if p.demand == nil {
