Never put another answer into a begun stream

Cause: a stream that had broken off went on at another server, which answered 500; that answer was written behind the events, and the stream ended as if it were whole. Any resumption could meet it. Change: an answer that is no stream is a failed attempt once the caller has had events.

--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -34,8 +34,12 @@
 		return outcome, failure
 	}
 	exchange.Finish()
+	if c.begun {
+		// The caller has had a part of a stream; another answer can't follow it.
+		return dispatch.Failed, result.Errorf(result.CutAnswer, "the stream was to go on, and the server answered status %d", exchange.Response.StatusCode)
+	}
 	whole := &answer{status: exchange.Response.StatusCode, header: platform.EndToEnd(exchange.Response.Header), body: body}
-	if whole.status >= http.StatusInternalServerError && c.route.Repeatable() && !c.begun {
+	if whole.status >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.fallback = whole
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "server answered status %d", whole.status)
 	}
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -371,6 +371,33 @@
 		So(err, ShouldNotBeNil)
 		So(ids(body), ShouldResemble, []string{"1", "2", "3"})
 	})
+	for _, status := range []int{500, 404, 200} {
+		Convey("A begun stream that another server answers with something else is shown as cut", t, func() {
+			var mu sync.Mutex
+			asked := 0
+			script := func(_ int, w http.ResponseWriter, _ *http.Request) {
+				mu.Lock()
+				asked++
+				first := asked == 1
+				mu.Unlock()
+				switch {
+				case first:
+					events(w, 1, 3, false)
+				case status == 200:
+					events(w, 3, 4, true) // An event that the caller has had.
+				default:
+					stamped(w, status, "failed")
+				}
+			}
+			b1, b2 := newBackend("b1", script), newBackend("b2", script)
+			s := newSystem(b1, b2)
+			defer s.close(b1, b2)
+			_, body, err := s.send("POST", "/stream/x", "", nil)
+			So(err, ShouldNotBeNil)
+			So(body, ShouldNotContainSubstring, "failed")
+			So(ids(body), ShouldResemble, []string{"1", "2", "3"})
+		})
+	}
 	Convey("A caller's own last event is passed on", t, func() {
 		b := newBackend("b1", func(_ int, w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get(header.LastEvent) == "12" {
