Split what a cold server bears by the size of the site

Cause: 18 entries each took an eighth, and twice that from a server not known to be cold, though one may turn cold without a word. Change: the share follows the number of servers and is the same for all.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -83,6 +83,7 @@
 func (d *Desk) Configure(candidates []topology.Candidate, service topology.Service, pauseGoal time.Duration) {
 	d.pace.configure(service.Engine, pauseGoal)
 	d.ramp.PerSecond = service.WarmUpPerSecond
+	d.ramp.grow(len(candidates))
 	servers := make([]*server, 0, len(candidates))
 	byID := make(map[string]*server, len(candidates))
 	for _, candidate := range candidates {
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -317,6 +317,24 @@
 	})
 }
 
+func TestColdGroupOfMany(t *testing.T) {
+	Convey("Eighteen entries stay under what one of 63 servers bears, though none says that it is cold", t, func() {
+		total := 0
+		for range 18 {
+			d := NewDesk(Ramp{Overshoot: 1.5, Allowance: 5, Entries: 8})
+			d.Configure(candidates(63, 1000), topology.Service{WarmUpPerSecond: 26}, 0)
+			d.Configure(candidates(1, 1000), topology.Service{WarmUpPerSecond: 26}, 0) // All others have left.
+			for i := range 1000 {
+				now := start.Add(time.Duration(i) * time.Millisecond / 2)
+				if d.Ask(ticket(uint64(i), now), 0, now).Verdict == Go {
+					total++
+				}
+			}
+		}
+		So(total, ShouldBeBetweenOrEqual, 18, 26*1.5+5)
+	})
+}
+
 func TestGreyServer(t *testing.T) {
 	Convey("Given a server that fails what it gets", t, func() {
 		d := plainDesk(3, 100)
--- a/policy/dispatch/ramp.go
+++ b/policy/dispatch/ramp.go
@@ -12,23 +12,24 @@
 	Entries   int     // Entries that may be running, counted high.
 }
 
-// warmFactor is how much more than its share an entry sends to a server that
-// is not known to be cold.
-const warmFactor = 2
-
-// share returns the requests in a second that this entry may send to a server.
-func (r Ramp) share(cold bool) float64 {
-	bound := (r.PerSecond*r.Overshoot + r.Allowance) / float64(max(1, r.Entries))
-	if !cold {
-		return bound * warmFactor
-	}
-	return bound
+// serversPerEntry is the least number of backend servers for each entry, spares
+// included, on large sites: 63 for 18. Small ones are covered by the count assumed.
+const serversPerEntry = 3
+
+// grow counts the entries higher where there are many servers. The count never
+// falls: servers leave and come back, entries go on.
+func (r *Ramp) grow(servers int) { r.Entries = max(r.Entries, servers/serversPerEntry) }
+
+// share returns the requests in a second that this entry may send to a server,
+// cold or not: it may have turned cold a moment ago.
+func (r Ramp) share() float64 {
+	return (r.PerSecond*r.Overshoot + r.Allowance) / float64(max(1, r.Entries))
 }
 
 // rampTokens are the requests sent to one server within the last second.
 type rampTokens struct{ sent []time.Time }
 
-func (t *rampTokens) has(ramp Ramp, cold bool, now time.Time) bool {
+func (t *rampTokens) has(ramp Ramp, now time.Time) bool {
 	if ramp.PerSecond <= 0 {
 		t.sent = t.sent[:0]
 		return true
@@ -38,7 +39,7 @@
 		cut++
 	}
 	t.sent = t.sent[cut:]
-	return float64(len(t.sent)+1) <= max(1, ramp.share(cold))
+	return float64(len(t.sent)+1) <= max(1, ramp.share())
 }
 
 func (t *rampTokens) take(now time.Time) { t.sent = append(t.sent, now) }
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -114,7 +114,7 @@
 	if now.Before(s.busyUntil) || s.closed && s.fresh(now) || s.health.excluded(now) {
 		return false
 	}
-	if !s.tokens.has(d.ramp, s.candidate.Cold(now), now) {
+	if !s.tokens.has(d.ramp, now) {
 		return false
 	}
 	if d.pace.engine != nil && !s.fresh(now) {
