Treat a predecessor's hold as its own change: back to the survey

Change: only holds of the own lease, and those made harmless, are released at once; others lead back to the survey.

--- a/policy/mapswitch/group_test.go
+++ b/policy/mapswitch/group_test.go
@@ -106,9 +106,9 @@
 // wire carries orders and reports: it loses them, and keeps orders to carry
 // them out late.
 type wire struct {
-	group *modelGroup
-	late  []lateOrder
-	fence uint64 // The highest that agents have seen.
+	group  *modelGroup
+	late   []lateOrder
+	fences map[int]uint64 // The highest that each rank's agent has seen.
 }
 
 type lateOrder struct {
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -86,6 +86,9 @@
 
 	made  int64 // Versions made under this lease.
 	lossy bool  // An order to copy had to be repeated in this change.
+	// harmless are passes whose hold may be released at once: those that this lease
+	// has held, and those whose orders to arm were made void.
+	harmless map[int64]bool
 }
 
 // Rank is a rank as last reported.
@@ -100,7 +103,7 @@
 // New returns the state of a coordinator that has just taken the lease. It puts
 // its holds at the rank beside it.
 func New(fence uint64, ownRank int) State {
-	return State{Fence: fence, HoldRank: ownRank, Ranks: map[int]Rank{}}
+	return State{Fence: fence, HoldRank: ownRank, Ranks: map[int]Rank{}, harmless: map[int64]bool{}}
 }
 
 // RankRead brings a rank's own report, and its lists where they were read.
@@ -190,6 +193,7 @@
 		s.Epoch, s.Size = state.Epoch, state.Size
 		s.Ranks = map[int]Rank{}
 		s.Current, s.Next = nil, nil
+		s.harmless = map[int64]bool{}
 		s, effects = s.move(Survey, "new epoch", now)
 	}
 	rank := s.Ranks[state.Rank]
@@ -223,6 +227,10 @@
 	if !s.complete() {
 		return s, nil, nil
 	}
+	if (s.Phase == Idle || s.Phase == Preparing) && s.foreignHold() {
+		s, moved = s.move(Survey, "a predecessor has put a hold", now)
+		return s, moved, nil
+	}
 	switch s.Phase {
 	case Survey:
 		s, moved = s.survey(now)
--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -114,12 +114,12 @@
 func TestOneMapInEveryPass(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := newModelGroup(rapid.IntRange(2, 4).Draw(t, "ranks"))
-		w := &wire{group: g, fence: 1}
+		w := &wire{group: g, fences: map[int]uint64{}}
 		coordinates := []*coordinate{newCoordinate(1, 0)}
 		now := start
 		active := func() *coordinate {
 			// A predecessor that wakes acts on what it knew.
-			return coordinates[rapid.IntRange(max(0, len(coordinates)-2), len(coordinates)-1).Draw(t, "coordinator")]
+			return coordinates[rapid.IntRange(max(0, len(coordinates)-3), len(coordinates)-1).Draw(t, "coordinator")]
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
@@ -167,14 +167,14 @@
 
 // read asks all ranks through their agents, which refuse a succeeded caller.
 func (w *wire) read(t *rapid.T, c *coordinate, now time.Time) {
-	if c.state.Fence < w.fence {
-		return
-	}
-	w.fence = c.state.Fence
 	for rank := range w.group.ranks {
+		if c.state.Fence < w.fences[rank] {
+			continue
+		}
 		if rapid.IntRange(0, 9).Draw(t, "lost report") == 0 {
 			continue
 		}
+		w.fences[rank] = c.state.Fence
 		read := w.group.report(rank)
 		read.Asked = now
 		if rapid.IntRange(0, 3).Draw(t, "slow report") == 0 {
@@ -194,7 +194,7 @@
 		if !ok || give.Rank >= len(w.group.ranks) {
 			continue
 		}
-		fenced := c.state.Fence < w.fence
+		fenced := c.state.Fence < w.fences[give.Rank]
 		bypasses := give.Order.Kind == topology.Prepare || give.Order.Kind == topology.Arm
 		if fenced && !bypasses {
 			continue // Only orders that copy or arm may go past an agent that is away.
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -89,6 +89,7 @@
 		holder.OrderAt, holder.Pending = time.Time{}, false // The hold before was refused, or came too late.
 		s.Ranks[s.HoldRank] = holder
 	}
+	s.harmless[s.HoldPass] = true
 	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
 }
 
@@ -130,6 +131,7 @@
 func (s State) fence(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
 	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version && r.State.Armed == 0 }) {
 		s.Current, s.Next = s.Next, nil
+		s.harmless[s.HoldPass] = true
 		s, moved := s.move(Idle, "predecessor's orders are void", now) // The hold is released there.
 		return s, moved, nil
 	}
@@ -148,3 +150,15 @@
 	}
 	return s, effects
 }
+
+// foreignHold reports whether a rank is held by another lease's order: a
+// predecessor that woke may have put it after the survey, and its orders to arm
+// for that pass may still take effect.
+func (s State) foreignHold() bool {
+	for _, rank := range s.Ranks {
+		if rank.State.HeldPass != 0 && !s.harmless[rank.State.HeldPass] {
+			return true
+		}
+	}
+	return false
+}
