--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -171,13 +171,6 @@
 // Accepted notes that a server has begun to answer a request.
 func (d *Desk) Accepted() { d.gate.accepted() }
 
-// Cold notes that a server says it is in cold start until the time.
-func (d *Desk) Cold(id string, until time.Time) {
-	if server := d.byID[id]; server != nil && until.After(server.candidate.ColdUntil) {
-		server.candidate.ColdUntil = until
-	}
-}
-
 // place finds a server for the ticket and takes a place there.
 func (d *Desk) place(ticket Ticket, random float64, now time.Time) (Decision, bool) {
 	if !d.gate.passes(d.reportedOpen(now), now) || d.gate.closed && ticket.Tried {
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -304,7 +304,6 @@
 		for range entries {
 			d := NewDesk(ramp)
 			cold := candidates(1, 1000)
-			cold[0].ColdUntil = start.Add(time.Hour)
 			d.Configure(cold, service, 0)
 			for i := range 1000 {
 				now := start.Add(time.Duration(i) * time.Millisecond / 2)
--- a/policy/topology/snapshot.go
+++ b/policy/topology/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 	"strings"
-	"time"
 )
 
 // Snapshot is an immutable view of a State for the traffic goroutines.
@@ -20,13 +19,9 @@
 // Candidate is a backend server that may get new work.
 type Candidate struct {
 	Server
-	ColdUntil time.Time // Zero or past for a warm server.
-	Unlisted  bool      // Its row has disappeared without notice: a last resort.
+	Unlisted bool // Its row has disappeared without notice: a last resort.
 }
 
-// Cold reports whether the server is in cold start.
-func (c *Candidate) Cold(now time.Time) bool { return now.Before(c.ColdUntil) }
-
 // Snapshot returns the view of the state. An earlier view of the same
 // configuration lends its index.
 func (s State) Snapshot(previous *Snapshot) *Snapshot {
@@ -47,7 +42,7 @@
 			continue
 		}
 		snapshot.servers[service] = append(snapshot.servers[service], Candidate{
-			Server: server.Server, ColdUntil: server.ColdUntil, Unlisted: !server.VanishAt.IsZero(),
+			Server: server.Server, Unlisted: !server.VanishAt.IsZero(),
 		})
 	}
 	for _, list := range snapshot.servers {
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -39,10 +39,9 @@
 
 // ServerState is a listed server with what the process keeps beside the row.
 type ServerState struct {
-	Server    Server
-	SeenAt    time.Time // When the row was read.
-	VanishAt  time.Time // Zero while the row is listed; else when the server is dropped.
-	ColdUntil time.Time
+	Server   Server
+	SeenAt   time.Time // When the row was read.
+	VanishAt time.Time // Zero while the row is listed; else when the server is dropped.
 }
 
 // ConfigurationRead brings a configuration of the store; a nil Config is one
@@ -196,9 +195,6 @@
 func (s State) readServer(server Server, now time.Time) (State, []reduce.Effect) {
 	before, known := s.Servers[server.ID]
 	next := ServerState{Server: server, SeenAt: now}
-	if server.WarmUpLeft > 0 {
-		next.ColdUntil = now.Add(server.WarmUpLeft)
-	}
 	s.Servers = maps.Clone(s.Servers)
 	s.Servers[server.ID] = next
 	s.revision++
--- a/server/gateway/desks.go
+++ b/server/gateway/desks.go
@@ -127,11 +127,6 @@
 	d.with(service, func(desk *desk) { desk.Gap(gap, time.Now()) })
 }
 
-// cold notes that a server is in cold start.
-func (d *desks) cold(service, server string, left time.Duration) {
-	d.with(service, func(desk *desk) { desk.Cold(server, time.Now().Add(left)) })
-}
-
 // report takes in the load of a server from the agent beside it, and moves
 // streams off a server that holds up its group.
 func (d *desks) report(service, server string, report dispatch.Report) {
