Never give an expert map a successor's version, and free groups that rested for good

Four more holes of the same search, each with a test that failed first: a group rested for good where a predecessor armed a rank after the survey; where it put a hold before or after the pass that was being released; a pass was held again for which a release was still on its way. The model reads past agents that are away, restarts agents, and ends each run with a coordinator that must get the group to run.

--- a/policy/mapswitch/group_test.go
+++ b/policy/mapswitch/group_test.go
@@ -61,6 +61,10 @@
 		if r.held == 0 && order.Pass > g.pass {
 			r.held = order.Pass
 		}
+	case topology.Disarm:
+		if r.armed == order.Version {
+			r.armed, r.armedPass = 0, 0
+		}
 	case topology.Release:
 		if r.held == order.Pass {
 			r.held = 0
@@ -109,6 +113,7 @@
 	group  *modelGroup
 	late   []lateOrder
 	fences map[int]uint64 // The highest that each rank's agent has seen.
+	lagged []RankRead     // What the engines say to callers from afar.
 }
 
 type lateOrder struct {
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -9,10 +9,13 @@
 //   - The hold is released only when every rank of the epoch has reported that
 //     it is armed for the same version and pass, or when no rank is armed and no
 //     order to arm for that pass can still take effect.
-//   - Nothing is disarmed, so a report of any age that shows a rank armed holds
-//     until the pass begins.
-//   - Versions grow with the lease's number, so that no version ever has two
-//     contents.
+//   - A rank is disarmed only where another rank can no longer be armed for the
+//     version, so that no coordinator ever sees all of them armed. Else a report of
+//     any age that shows a rank armed holds until the pass begins.
+//   - No pass is held for which an order to release may still be on its way.
+//   - A version holds the number of the lease that made it, so that no version
+//     ever has two contents. A coordinator that a rank shows a later lease's version
+//     ends.
 package mapswitch
 
 import (
@@ -30,6 +33,10 @@
 	// lossyPassLead holds where orders of the same change were lost: the group
 	// then has a pass to run while lost orders to arm are repeated.
 	lossyPassLead = 2
+	// maxPassLead is how many passes ahead of the last known one a hold is put at
+	// most. A successor's holds are beyond all passes that it finds within it, so
+	// that a predecessor's release which takes effect late never meets them.
+	maxPassLead = 3
 	// resendAfter is how long an order that shows no effect is waited for;
 	// engines on the same machine answer within a few ms.
 	resendAfter = 12 * time.Millisecond
@@ -84,6 +91,11 @@
 	HoldRank int
 	HoldPass int64
 
+	ownRank   int   // The rank beside the coordinator.
+	holdFloor int64 // Passes below it are not held: a release may be on its way.
+
+	succeeded bool // A rank has shown a version of a later lease; nothing is done any more.
+
 	made  int64 // Versions made under this lease.
 	lossy bool  // An order to copy had to be repeated in this change.
 	// harmless are passes whose hold may be released at once: those that this lease
@@ -96,14 +108,15 @@
 	State   topology.RankState
 	Lists   topology.RankLists // Of State.MapVersion where the versions agree.
 	AskedAt time.Time          // When the report was asked for.
+	Direct  bool               // Its agent is away: the report came from the engine itself.
 	OrderAt time.Time          // When the last order was given.
 	Pending bool               // The call of the last order has not returned.
 }
 
-// New returns the state of a coordinator that has just taken the lease. It puts
-// its holds at the rank beside it.
+// New returns the state of a coordinator that has just taken the lease, on the
+// machine of a rank.
 func New(fence uint64, ownRank int) State {
-	return State{Fence: fence, HoldRank: ownRank, Ranks: map[int]Rank{}, harmless: map[int64]bool{}}
+	return State{Fence: fence, ownRank: ownRank, Ranks: map[int]Rank{}, harmless: map[int64]bool{}}
 }
 
 // RankRead brings a rank's own report, and its lists where they were read.
@@ -113,6 +126,8 @@
 	// Asked is when the report was asked for; an older one that arrives late is
 	// ignored.
 	Asked time.Time
+	// Direct tells that the engine itself was read, because its agent is away.
+	Direct bool
 }
 
 // EventName implements reduce.Event.
@@ -159,8 +174,18 @@
 // EffectName implements reduce.Effect.
 func (Moved) EffectName() string { return "mapswitch.moved" }
 
+// Resigned reports that a later lease has made the version, so that this
+// coordinator must end.
+type Resigned struct{ Version int64 }
+
+// EffectName implements reduce.Effect.
+func (Resigned) EffectName() string { return "mapswitch.resigned" }
+
 // Step reduces one input. The maps inside the state are its own.
 func Step(s State, input reduce.Input) (State, []reduce.Effect) {
+	if s.succeeded {
+		return s, nil
+	}
 	var effects []reduce.Effect
 	switch event := input.Event.(type) {
 	case RankRead:
@@ -178,6 +203,9 @@
 			s, effects = s.move(Preparing, "planned", input.Now)
 		}
 	}
+	if s.succeeded {
+		return s, effects
+	}
 	s, more := s.advance(input.Now)
 	return s, append(effects, more...)
 }
@@ -189,18 +217,22 @@
 	if state.Epoch < s.Epoch {
 		return s, nil
 	}
+	if s.madeBySuccessor(state) {
+		s.succeeded = true
+		return s, []reduce.Effect{Resigned{Version: max(state.MapVersion, state.Prepared, state.Armed)}}
+	}
 	if state.Epoch > s.Epoch || state.Size != s.Size {
 		s.Epoch, s.Size = state.Epoch, state.Size
 		s.Ranks = map[int]Rank{}
 		s.Current, s.Next = nil, nil
-		s.harmless = map[int64]bool{}
+		s.harmless, s.holdFloor = map[int64]bool{}, 0
 		s, effects = s.move(Survey, "new epoch", now)
 	}
 	rank := s.Ranks[state.Rank]
 	if event.Asked.Before(rank.AskedAt) {
 		return s, effects
 	}
-	rank.State, rank.AskedAt = state, event.Asked
+	rank.State, rank.AskedAt, rank.Direct = state, event.Asked, event.Direct
 	if event.Lists.Experts != nil && event.Lists.MapVersion == state.MapVersion {
 		rank.Lists = event.Lists
 	}
@@ -254,7 +286,7 @@
 		s, orders = s.releaseStray(now)
 		s, moved = s.settle(now)
 	case Fencing:
-		s, moved, orders = s.fence(now)
+		s, moved, orders = s.fenceOff(now)
 	}
 	return s, moved, orders
 }
--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -109,12 +109,188 @@
 	}
 }
 
+// A predecessor whose calls to agents fail, but which still reaches the engines,
+// reads its successor's versions.
+func TestSucceededWithoutWord(t *testing.T) {
+	Convey("Given a coordinator that has been succeeded without having heard of it", t, func() {
+		g, first, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, first, &now, 4, nil), ShouldBeNil)
+		second := newCoordinate(2, 1)
+		So(settleAll(g, second, &now, 4, nil), ShouldBeNil)
+		second.plan(now)
+		So(settleAll(g, second, &now, 20, nil), ShouldBeNil)
+		So(g.ranks[0].version, ShouldBeGreaterThan, 2*versionsPerFence)
+
+		Convey("it makes no version of its successor's when it reads the engines", func() {
+			for rank := range g.ranks {
+				read := g.report(rank)
+				read.Asked = now
+				first.take(read, now)
+			}
+			first.plan(now)
+			for _, effect := range first.pending {
+				if give, ok := effect.(Give); ok {
+					So(give.Order.Version, ShouldBeLessThan, 2*versionsPerFence)
+				}
+			}
+			So(first.pending[len(first.pending)-1], ShouldHaveSameTypeAs, Resigned{})
+			So(first.state.Phase, ShouldNotEqual, Preparing)
+		})
+	})
+}
+
+// readRanks lets the coordinator read all ranks.
+func readRanks(g *modelGroup, c *coordinate, now time.Time) {
+	for rank := range g.ranks {
+		read := g.report(rank)
+		read.Asked = now
+		c.take(read, now)
+	}
+}
+
+func TestArmedAfterTheSurvey(t *testing.T) {
+	Convey("Given a successor that has found a hold and no armed rank", t, func() {
+		g, first, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, first, &now, 4, nil), ShouldBeNil)
+		first.plan(now)
+		prepare := first.pending[len(first.pending)-1].(Give).Order
+		for rank := range g.ranks {
+			g.apply(rank, prepare)
+		}
+		held := g.pass + 1
+		g.apply(0, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: held})
+		second := newCoordinate(2, 1)
+		readRanks(g, second, now)
+		So(second.state.Phase, ShouldEqual, Fencing)
+
+		Convey("a rank that its predecessor arms meanwhile does not keep the group from running", func() {
+			arm := topology.Order{Kind: topology.Arm, Epoch: g.epoch, Version: prepare.Version, Pass: held}
+			g.apply(2, arm)
+			So(settleAll(g, second, &now, 20, nil), ShouldBeNil)
+			So(g.pass, ShouldBeGreaterThan, held+5)
+			So(second.state.Phase, ShouldEqual, Idle)
+
+			Convey("and a late order to arm has no effect", func() {
+				g.apply(2, arm)
+				So(g.ranks[2].armed, ShouldEqual, 0)
+			})
+		})
+
+		Convey("nor does one that it arms after others have the fencing version", func() {
+			for _, effect := range second.pending {
+				if give, ok := effect.(Give); ok && give.Rank != 2 {
+					g.apply(give.Rank, give.Order)
+				}
+			}
+			second.pending = nil
+			g.apply(2, topology.Order{Kind: topology.Arm, Epoch: g.epoch, Version: prepare.Version, Pass: held})
+			So(settleAll(g, second, &now, 30, nil), ShouldBeNil)
+			So(g.pass, ShouldBeGreaterThan, held+5)
+			So(second.state.Phase, ShouldEqual, Idle)
+
+			Convey("also for a third coordinator", func() {
+				third := newCoordinate(3, 3)
+				So(settleAll(g, third, &now, 30, nil), ShouldBeNil)
+				So(third.state.Phase, ShouldEqual, Idle)
+			})
+		})
+	})
+}
+
+func TestHoldOfAnotherLeaseDuringRelease(t *testing.T) {
+	Convey("Given a change that all ranks are armed for", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(2, 1), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.plan(now)
+		for range 20 {
+			if c.state.Phase == Arming {
+				break
+			}
+			So(settleAll(g, c, &now, 1, nil), ShouldBeNil)
+		}
+		So(c.state.Phase, ShouldEqual, Arming)
+
+		Convey("a hold that a predecessor has put at an earlier pass does not stop the group", func() {
+			So(c.state.HoldPass, ShouldBeGreaterThan, g.pass)
+			g.apply(3, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: g.pass + 1})
+			before := g.pass
+			So(settleAll(g, c, &now, 20, nil), ShouldBeNil)
+			So(g.pass, ShouldBeGreaterThan, before+5)
+			So(c.state.Phase, ShouldEqual, Idle)
+		})
+
+		Convey("nor does one at a later pass", func() {
+			g.apply(3, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: c.state.HoldPass + 1})
+			before := g.pass
+			So(settleAll(g, c, &now, 30, nil), ShouldBeNil)
+			So(g.pass, ShouldBeGreaterThan, before+5)
+		})
+	})
+}
+
+func TestReleaseThatTakesEffectLate(t *testing.T) {
+	Convey("Given a group at rest whose hold was released by an order that is still on its way too", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		held := g.pass + 1
+		g.apply(0, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: held})
+		second := newCoordinate(2, 0)
+		var late topology.Order
+		for range 40 {
+			now = now.Add(50 * time.Millisecond)
+			readRanks(g, second, now)
+			for _, effect := range second.pending {
+				if give, ok := effect.(Give); ok {
+					g.apply(give.Rank, give.Order)
+					if give.Order.Kind == topology.Release {
+						late = give.Order
+					}
+				}
+			}
+			second.pending = nil
+		}
+		So(late.Pass, ShouldEqual, held)
+		So(g.ranks[0].held, ShouldEqual, 0)
+
+		Convey("neither the coordinator nor its successor holds that pass again", func() {
+			second.plan(now)
+			third := newCoordinate(3, 0)
+			for _, c := range []*coordinate{second, third} {
+				for range 40 {
+					now = now.Add(50 * time.Millisecond)
+					readRanks(g, c, now)
+					if c == third && c.plans == 0 {
+						c.plan(now)
+					}
+					for _, effect := range c.pending {
+						if give, ok := effect.(Give); ok {
+							if give.Order.Kind == topology.Hold {
+								So(give.Order.Pass, ShouldBeGreaterThan, held)
+							}
+							g.apply(give.Rank, give.Order)
+						}
+					}
+					c.pending = nil
+				}
+				So(c.plans, ShouldEqual, 1)
+				// Its hold is left behind and released, so that the next one finds none.
+				for _, r := range g.ranks {
+					r.held = 0
+				}
+			}
+		})
+	})
+}
+
 // TestOneMapInEveryPass drives coordinators that sleep, die and succeed each
-// other over a wire that loses reports and orders and carries orders out late.
+// other over a wire that loses reports and orders and carries orders out late. A
+// last coordinator then finds the group in whatever state it is and must get it
+// to run.
 func TestOneMapInEveryPass(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := newModelGroup(rapid.IntRange(2, 4).Draw(t, "ranks"))
 		w := &wire{group: g, fences: map[int]uint64{}}
+		w.lag()
 		coordinates := []*coordinate{newCoordinate(1, 0)}
 		now := start
 		active := func() *coordinate {
@@ -140,6 +316,7 @@
 					c.take(read, now)
 				}
 			},
+			"lag":  func(*rapid.T) { w.lag() },
 			"tick": func(*rapid.T) { active().take(reduce.Tick{}, now) },
 			"plan": func(*rapid.T) { active().plan(now) },
 			"give": func(*rapid.T) { w.give(t, active(), now) },
@@ -156,26 +333,65 @@
 					coordinates = append(coordinates, newCoordinate(uint64(len(coordinates)+1), rapid.IntRange(0, len(g.ranks)-1).Draw(t, "rank")))
 				}
 			},
+			"restart an agent": func(t *rapid.T) {
+				// It forgets which coordinators it has heard of; one beside it dies too.
+				if rapid.IntRange(0, 3).Draw(t, "restarts") == 0 {
+					rank := rapid.IntRange(0, len(g.ranks)-1).Draw(t, "rank")
+					delete(w.fences, rank)
+					for i, c := range coordinates {
+						if c.state.ownRank == rank && i < len(coordinates)-1 {
+							c.state.succeeded = true
+							c.pending = nil
+						}
+					}
+				}
+			},
 			"crash": func(t *rapid.T) {
 				if rapid.IntRange(0, 20).Draw(t, "crashes") == 0 {
 					g.form()
 				}
 			},
 		})
+		last := newCoordinate(uint64(len(coordinates)+1), 0)
+		if err := settleAll(g, last, &now, 60, nil); err != nil {
+			t.Fatal(err)
+		}
+		before := g.pass
+		if err := settleAll(g, last, &now, 10, nil); err != nil {
+			t.Fatal(err)
+		}
+		if g.pass != before+10 {
+			t.Fatalf("the group rests under a coordinator in phase %v", last.state.Phase)
+		}
 	})
 }
 
-// read asks all ranks through their agents, which refuse a succeeded caller.
+// lag lets the reports that are read from afar catch up.
+func (w *wire) lag() {
+	w.lagged = w.lagged[:0]
+	for rank := range w.group.ranks {
+		w.lagged = append(w.lagged, w.group.report(rank))
+	}
+}
+
+// read asks all ranks through their agents, which refuse a succeeded caller, or
+// the engine itself where an agent is away.
 func (w *wire) read(t *rapid.T, c *coordinate, now time.Time) {
 	for rank := range w.group.ranks {
-		if c.state.Fence < w.fences[rank] {
+		away := rapid.IntRange(0, 4).Draw(t, "agent away") == 0
+		if !away && c.state.Fence < w.fences[rank] {
 			continue
 		}
 		if rapid.IntRange(0, 9).Draw(t, "lost report") == 0 {
 			continue
 		}
-		w.fences[rank] = c.state.Fence
 		read := w.group.report(rank)
+		if away {
+			// The engine itself is read, which tells what was true a while ago.
+			read, read.Direct = w.lagged[rank], true
+		} else {
+			w.fences[rank] = c.state.Fence
+		}
 		read.Asked = now
 		if rapid.IntRange(0, 3).Draw(t, "slow report") == 0 {
 			c.unread = append(c.unread, read)
@@ -195,9 +411,9 @@
 			continue
 		}
 		fenced := c.state.Fence < w.fences[give.Rank]
-		bypasses := give.Order.Kind == topology.Prepare || give.Order.Kind == topology.Arm
-		if fenced && !bypasses {
-			continue // Only orders that copy or arm may go past an agent that is away.
+		away := rapid.IntRange(0, 4).Draw(t, "agent away") == 0
+		if (fenced || away) && (give.Order.Kind == topology.Hold || give.Order.Kind == topology.Release) {
+			continue // All other orders may go past an agent that is away.
 		}
 		switch rapid.IntRange(0, 4).Draw(t, "way") {
 		case 0:
--- a/policy/mapswitch/orders.go
+++ b/policy/mapswitch/orders.go
@@ -46,12 +46,41 @@
 	return true
 }
 
-// nextHold returns the pass to hold.
-func (s State) nextHold() int64 {
+// nextHold returns the pass to hold; not ok while the group has not got far
+// enough.
+func (s State) nextHold() (pass int64, ok bool) {
+	lead := int64(passLead)
 	if s.lossy {
-		return s.lastPass() + lossyPassLead
+		lead = lossyPassLead
 	}
-	return s.lastPass() + passLead
+	pass = max(s.lastPass()+lead, s.holdFloor)
+	return pass, pass <= s.lastPass()+maxPassLead
+}
+
+// nextHolder returns the rank at which to put a hold: one beside another machine,
+// whose agent can be called. Whatever stops the coordinator then leaves a hold that
+// its successor can release.
+func (s State) nextHolder() int {
+	for i := range s.Size {
+		if id := (s.ownRank + 1 + i) % s.Size; !s.Ranks[id].Direct {
+			return id
+		}
+	}
+	return s.ownRank
+}
+
+// releaseHolds releases the holds of passes up to the last one.
+func (s State) releaseHolds(last int64, now time.Time) (State, []reduce.Effect) {
+	var effects []reduce.Effect
+	for id := range s.Size {
+		held := s.Ranks[id].State.HeldPass
+		if held == 0 || held > last {
+			continue
+		}
+		s.holdFloor = max(s.holdFloor, held+1)
+		effects = append(effects, s.order(now, topology.Order{Kind: topology.Release, Pass: held}, s.only(id))...)
+	}
+	return s, effects
 }
 
 func (s State) lastPass() int64 {
@@ -62,12 +91,36 @@
 	return last
 }
 
-// nextVersion returns a version above all that any rank has shown.
+// nextVersion returns a version that no other lease makes, above all versions of
+// the leases before.
 func (s *State) nextVersion() int64 {
 	s.made++
-	version := int64(s.Fence)*versionsPerFence + s.made
+	return int64(s.Fence)*versionsPerFence + s.made
+}
+
+// void reports whether no coordinator can ever see all ranks armed for the
+// version: a rank that is not has had a later one.
+func (s State) void(version int64) bool {
 	for _, rank := range s.Ranks {
-		version = max(version, rank.State.MapVersion+1, rank.State.Prepared+1)
+		if rank.State.Prepared > version && rank.State.Armed != version && rank.State.MapVersion != version {
+			return true
+		}
+	}
+	return false
+}
+
+// armed returns a rank that is armed; not ok where none is.
+func (s State) armed() (rank Rank, ok bool) {
+	for id := range s.Size {
+		if s.Ranks[id].State.Armed != 0 {
+			return s.Ranks[id], true
+		}
 	}
-	return version
+	return Rank{}, false
+}
+
+// madeBySuccessor reports whether the rank shows a version of a later lease.
+func (s State) madeBySuccessor(rank topology.RankState) bool {
+	latest := max(rank.MapVersion, rank.Prepared, rank.Armed)
+	return latest >= int64(s.Fence+1)*versionsPerFence
 }
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -1,6 +1,7 @@
 package mapswitch
 
 import (
+	"math"
 	"time"
 
 	"persimmonwind.dev/policy/reduce"
@@ -10,34 +11,31 @@
 // survey finds out where a predecessor, or an earlier epoch, has left the
 // group.
 func (s State) survey(now time.Time) (State, []reduce.Effect) {
-	held, armed := -1, -1
-	for id, rank := range s.Ranks {
-		if rank.State.HeldPass != 0 {
-			held = id
-		}
-		if rank.State.Armed != 0 {
-			armed = id
-		}
-	}
-	switch {
-	case armed >= 0:
-		s.Version, s.HoldPass = s.Ranks[armed].State.Armed, s.Ranks[armed].State.ArmedPass
+	armed, isArmed := s.armed()
+	if isArmed && !s.void(armed.State.Armed) {
+		s.Version, s.HoldPass = armed.State.Armed, armed.State.ArmedPass
 		s.Next = nil
 		return s.move(Arming, "a predecessor has armed a rank", now)
-	case held >= 0:
+	}
+	held := int64(0)
+	for _, rank := range s.Ranks {
+		held = max(held, rank.State.HeldPass)
+	}
+	if isArmed || held != 0 {
 		current, ok := s.lists()
 		if !ok {
 			return s, nil
 		}
-		s.HoldPass = s.Ranks[held].State.HeldPass
+		s.HoldPass = held
 		s.Version, s.Next = s.nextVersion(), current
-		return s.move(Fencing, "a predecessor has left a hold", now)
+		return s.move(Fencing, "a predecessor has left its orders", now)
 	}
 	current, ok := s.lists()
 	if !ok {
 		return s, nil
 	}
 	s.Current = current
+	s.holdFloor = max(s.holdFloor, s.lastPass()+maxPassLead+1)
 	return s.move(Idle, "all ranks read", now)
 }
 
@@ -65,7 +63,11 @@
 		return s, moved, nil
 	}
 	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version }) {
-		s.HoldPass = s.nextHold()
+		pass, ok := s.nextHold()
+		if !ok {
+			return s, nil, nil
+		}
+		s.HoldPass, s.HoldRank = pass, s.nextHolder()
 		s, moved := s.move(Holding, "all ranks prepared", now)
 		return s, moved, nil
 	}
@@ -82,17 +84,30 @@
 		s, moved := s.move(Arming, "hold is in place", now)
 		return s, moved, nil
 	case holder.State.HeldPass != 0:
-		// An earlier hold of this lease took effect late; no rank was armed for it.
-		return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: holder.State.HeldPass}, s.only(s.HoldRank))
-	case s.lastPass() >= s.HoldPass:
-		s.HoldPass = s.nextHold()
-		holder.OrderAt, holder.Pending = time.Time{}, false // The hold before was refused, or came too late.
-		s.Ranks[s.HoldRank] = holder
+		// An earlier hold took effect late; all ranks have prepared a later version than
+		// any that was to be armed for it.
+		s, orders := s.releaseHolds(holder.State.HeldPass, now)
+		return s, nil, orders
+	case s.lastPass() >= s.HoldPass || holder.Direct && s.nextHolder() != s.HoldRank:
+		s = s.holdElsewhere()
 	}
 	s.harmless[s.HoldPass] = true
 	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
 }
 
+// holdElsewhere takes another pass or rank: the hold before was refused or came too
+// late, or the rank's agent is away.
+func (s State) holdElsewhere() State {
+	if pass, ok := s.nextHold(); ok {
+		s.HoldPass = pass
+	}
+	s.HoldRank = s.nextHolder()
+	holder := s.Ranks[s.HoldRank]
+	holder.OrderAt, holder.Pending = time.Time{}, false
+	s.Ranks[s.HoldRank] = holder
+	return s
+}
+
 func (s State) arm(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
 	armed := func(r Rank) bool {
 		return r.State.MapVersion == s.Version || r.State.Armed == s.Version && r.State.ArmedPass == s.HoldPass
@@ -101,17 +116,21 @@
 		s, moved := s.move(Releasing, "all ranks armed", now)
 		return s, moved, nil
 	}
+	if s.void(s.Version) {
+		s, moved := s.move(Survey, "a rank can no longer be armed", now)
+		return s, moved, nil
+	}
 	return s, nil, s.order(now, topology.Order{Kind: topology.Arm, Version: s.Version, Pass: s.HoldPass},
 		func(r Rank) bool { return !armed(r) })
 }
 
 func (s State) release(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
-	if s.all(func(r Rank) bool { return r.State.HeldPass == 0 }) {
+	s, orders := s.releaseHolds(s.HoldPass, now)
+	if s.all(func(r Rank) bool { return r.State.HeldPass == 0 || r.State.HeldPass > s.HoldPass }) {
 		s, moved := s.move(Settling, "released", now)
 		return s, moved, nil
 	}
-	return s, nil, s.order(now, topology.Order{Kind: topology.Release, Pass: s.HoldPass},
-		func(r Rank) bool { return r.State.HeldPass != 0 })
+	return s, nil, orders
 }
 
 // settle waits until the group has begun the pass; an idle group has none.
@@ -126,29 +145,34 @@
 	return s.move(Idle, "in force", now)
 }
 
-// fence prepares a new version at all ranks: a predecessor's order to arm for
-// the held pass then names a version that is no longer prepared.
-func (s State) fence(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
-	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version && r.State.Armed == 0 }) {
+// fenceOff prepares a new version at all ranks: a predecessor's order to arm then
+// names a version that is no longer prepared.
+func (s State) fenceOff(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	armed, isArmed := s.armed()
+	if isArmed && !s.void(armed.State.Armed) {
+		s, moved := s.move(Survey, "a predecessor has armed a rank", now)
+		return s, moved, nil
+	}
+	if !isArmed && s.all(func(r Rank) bool { return r.State.Prepared == s.Version }) {
 		s.Current, s.Next = s.Next, nil
 		s.harmless[s.HoldPass] = true
+		s.holdFloor = max(s.holdFloor, s.lastPass()+maxPassLead+1)
 		s, moved := s.move(Idle, "predecessor's orders are void", now) // The hold is released there.
 		return s, moved, nil
 	}
-	return s, nil, s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
-		func(r Rank) bool { return r.State.Prepared != s.Version && !r.State.OrderRunning })
+	orders := s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
+		func(r Rank) bool { return r.State.Prepared != s.Version && r.State.Armed == 0 && !r.State.OrderRunning })
+	if isArmed {
+		version := armed.State.Armed
+		orders = append(orders, s.order(now, topology.Order{Kind: topology.Disarm, Version: version},
+			func(r Rank) bool { return r.State.Armed == version })...)
+	}
+	return s, nil, orders
 }
 
 // releaseStray releases holds whose order took effect late.
 func (s State) releaseStray(now time.Time) (State, []reduce.Effect) {
-	var effects []reduce.Effect
-	for id, rank := range s.Ranks {
-		if rank.State.HeldPass == 0 {
-			continue
-		}
-		effects = append(effects, s.order(now, topology.Order{Kind: topology.Release, Pass: rank.State.HeldPass}, s.only(id))...)
-	}
-	return s, effects
+	return s.releaseHolds(math.MaxInt64, now)
 }
 
 // foreignHold reports whether a rank is held by another lease's order: a
--- a/policy/topology/rank.go
+++ b/policy/topology/rank.go
@@ -44,11 +44,12 @@
 	Arm                          // Switch to a prepared version before a pass.
 	Hold                         // Let the group not begin a pass.
 	Release                      // Let it begin.
+	Disarm                       // Don't switch to a version that was to be armed.
 )
 
 // String returns the kind's name for logs.
 func (k OrderKind) String() string {
-	return [...]string{"none", "prepare", "arm", "hold", "release"}[k]
+	return [...]string{"none", "prepare", "arm", "hold", "release", "disarm"}[k]
 }
 
 // Order is an order to one rank.
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -26,4 +26,5 @@
 	LeaseLeft        = define(411, "lease_left", logrus.InfoLevel, "The agent no longer coordinates its group's expert map.")
 	CountsUnreadable = define(413, "counts_unreadable", logrus.WarnLevel, "A rank's counts can't be read; others tell the same demand.")
 	LeaseFailed      = define(412, "lease_failed", logrus.WarnLevel, "The lease of a group could not be taken; it is tried again.")
+	LeaseSucceeded   = define(414, "lease_succeeded", logrus.InfoLevel, "A rank shows a version that a later coordinator made; this one ends.")
 )
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -145,7 +145,7 @@
 // read reads a rank through its agent, or the engine itself where the agent
 // doesn't answer.
 func (c *coordinator) read(ctx context.Context, member Member, lists, counts bool) {
-	asked := time.Now()
+	asked, isDirect := time.Now(), false
 	args := ReadArgs{Caller: c.caller(), Counts: counts, Lists: lists}
 	var reply ReadReply
 	if err := c.call(ctx, member.Agent, methodRead, args, &reply); err != nil {
@@ -155,14 +155,14 @@
 			return
 		}
 		// Counts read from afar make the group pause, and so do lists.
-		reply = ReadReply{}
+		reply, isDirect = ReadReply{}, true
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if err := readInto(callCtx, c.direct(member.Server), lists && c.mayReadLists(), &reply); err != nil {
 			return // Nothing is concluded from silence.
 		}
 	}
-	c.learn(member, reply.State, reply.Lists, asked)
+	c.learn(member, mapswitch.RankRead{State: reply.State, Lists: reply.Lists, Asked: asked, Direct: isDirect})
 	if reply.Gains != nil {
 		c.planner.observe(rankGains{packed: reply.Gains, elapsed: reply.Elapsed})
 	}
@@ -180,7 +180,8 @@
 }
 
 // learn passes a rank's report on.
-func (c *coordinator) learn(member Member, state topology.RankState, lists topology.RankLists, asked time.Time) {
+func (c *coordinator) learn(member Member, read mapswitch.RankRead) {
+	state := read.State
 	if state.Group != c.group || !state.Open {
 		return
 	}
@@ -193,7 +194,7 @@
 		c.addresses[state.Rank] = member
 	}
 	c.mu.Unlock()
-	c.loop.Post(mapswitch.RankRead{State: state, Lists: lists, Asked: asked})
+	c.loop.Post(read)
 }
 
 func (c *coordinator) isRank(member Member) bool {
@@ -216,6 +217,9 @@
 		if ok {
 			go c.give(ctx, member, effect)
 		}
+	case mapswitch.Resigned:
+		logevent.Write(c.log, logevent.LeaseSucceeded, logrus.Fields{"group": c.group, "fence": c.fence, "version": effect.Version})
+		c.fenced()
 	case mapswitch.Moved:
 		c.counters.Entered(effect.To.String())
 		logevent.Write(c.log, logevent.MapPhase, logrus.Fields{
@@ -225,11 +229,11 @@
 	}
 }
 
-// give passes an order to a rank. Orders that copy or arm may go to the engine
-// itself where the agent is away; a hold is only put and released beside the
-// coordinator, whose agent knows whether it has been succeeded.
+// give passes an order to a rank. Orders that copy, arm or disarm may go to the
+// engine itself where the agent is away; a hold is only put and released by an
+// agent, which refuses a coordinator that has been succeeded.
 func (c *coordinator) give(ctx context.Context, member Member, give mapswitch.Give) {
-	asked, order := time.Now(), give.Order
+	asked, order, isDirect := time.Now(), give.Order, false
 	defer c.loop.Post(mapswitch.Given{Rank: give.Rank})
 	var reply GiveReply
 	if err := c.pass(ctx, member, give, &reply); err != nil {
@@ -237,6 +241,7 @@
 			c.logOrder(member, order, err.Error())
 			return
 		}
+		isDirect = true
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if err := giveInto(callCtx, c.direct(member.Server), order, &reply); err != nil {
@@ -247,7 +252,7 @@
 	if reply.Problem != "" {
 		c.logOrder(member, order, reply.Problem)
 	}
-	c.learn(member, reply.State, topology.RankLists{}, asked)
+	c.learn(member, mapswitch.RankRead{State: reply.State, Asked: asked, Direct: isDirect})
 }
 
 // pass passes an order to a rank's agent: where the agent knows the map in use,
