Build each change of an expert map on the map that the coordinator knows to be in use

An order to copy holds what changes in a map that the agent knows; which one, was taken from the rank's last report. A report read from the engine itself, where the agent is slow, lags by 0.2 s: it named the version before, the agent applied the changes to that one, and the rank had other content under the same version until the next whole map. Ruled out: two leases with one number (both versions are of lease 1). Change: the coordinator remembers the version of the map in use. The model now builds maps as agents do and changes one rank at a time, which found one more: two predecessors' holds at once made a fencing successor start over for ever.

--- a/policy/mapswitch/group_test.go
+++ b/policy/mapswitch/group_test.go
@@ -14,6 +14,7 @@
 	highest   int64 // Of all versions that the rank has had.
 	prepared  int64
 	content   map[int64]string // Of the versions that the rank has had.
+	maps      map[int64]Map    // The same, as the agent beside it remembers them.
 	version   int64
 	armed     int64
 	armedPass int64
@@ -37,7 +38,7 @@
 func (g *modelGroup) form() {
 	g.epoch++
 	for i := range g.ranks {
-		g.ranks[i] = &modelRank{content: map[int64]string{0: "0"}}
+		g.ranks[i] = &modelRank{content: map[int64]string{0: "0"}, maps: map[int64]Map{}}
 	}
 }
 
@@ -51,7 +52,7 @@
 	case topology.Prepare:
 		if order.Version > r.highest && r.armed == 0 {
 			r.highest, r.prepared = order.Version, order.Version
-			r.content[order.Version] = fmt.Sprint(order.Map)
+			r.content[order.Version], r.maps[order.Version] = fmt.Sprint(order.Map), order.Map
 		}
 	case topology.Arm:
 		if r.prepared == order.Version && order.Pass > g.pass {
@@ -72,6 +73,19 @@
 	}
 }
 
+// expand returns the order as the agent beside the rank passes it on: a map that
+// builds on one that the agent knows is made of that one's and the changes.
+func (g *modelGroup) expand(give Give) topology.Order {
+	base, known := g.ranks[give.Rank].maps[give.FromVersion]
+	if give.Order.Kind != topology.Prepare || give.From == nil || !known {
+		return give.Order
+	}
+	if next, ok := Apply(base, Changes(give.From, give.Order.Map)); ok {
+		give.Order.Map = next
+	}
+	return give.Order
+}
+
 // begin begins the next pass unless it is held; it fails where two ranks have
 // different maps then.
 func (g *modelGroup) begin() error {
@@ -139,19 +153,27 @@
 	c.pending = append(c.pending, effects...)
 }
 
-// plan offers a map with content of its own.
+// plan offers the map in use with one rank's experts of a set changed.
 func (c *coordinate) plan(now time.Time) {
 	if c.state.Phase != Idle {
 		return
 	}
 	c.plans++
-	next := Map{}
-	for set := range 2 {
-		ranks := [][]int{}
-		for rank := range c.state.Size {
-			ranks = append(ranks, []int{rank, int(c.state.Fence)*1000 + c.plans + set})
-		}
-		next = append(next, ranks)
+	set, rank := c.plans%len(c.state.Current), c.plans%c.state.Size
+	next, ok := Apply(c.state.Current, []Change{{
+		Set: set, Rank: rank, Experts: []int{rank, int(c.state.Fence)*1000 + c.plans},
+	}})
+	if !ok {
+		panic("the map in use has the set and the rank")
 	}
 	c.take(Planned{Epoch: c.state.Epoch, Map: next}, now)
 }
+
+// String shows the ranks, for a failure's message.
+func (g *modelGroup) String() string {
+	text := ""
+	for i, r := range g.ranks {
+		text += fmt.Sprintf("rank %d: version %d, prepared %d, armed %d for pass %d, held %d; ", i, r.version, r.prepared, r.armed, r.armedPass, r.held)
+	}
+	return text
+}
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -88,6 +88,7 @@
 	Version  int64     // Being put in force, or in force.
 	Next     Map       // Content of Version while it is put in force.
 	Current  Map       // In use; nil while unknown.
+	InUse    int64     // The version of Current.
 	HoldRank int
 	HoldPass int64
 
@@ -153,7 +154,7 @@
 	Rank  int
 	Order topology.Order
 	// From and FromVersion are the map in use where an order to copy builds on it;
-	// nil for others.
+	// nil for others. A rank's own report may lag behind that version.
 	From        Map
 	FromVersion int64
 }
--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -26,7 +26,7 @@
 		c.pending = nil
 		for _, effect := range effects {
 			if give, ok := effect.(Give); ok {
-				g.apply(give.Rank, give.Order)
+				g.apply(give.Rank, g.expand(give))
 				read := g.report(give.Rank)
 				read.Asked = *now
 				c.take(read, *now)
@@ -282,6 +282,30 @@
 	})
 }
 
+func TestLaggingReportOfTheMapInUse(t *testing.T) {
+	Convey("Given a group that has changed its map twice", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		for range 2 {
+			c.plan(now)
+			So(settleAll(g, c, &now, 20, nil), ShouldBeNil)
+			So(c.state.Phase, ShouldEqual, Idle)
+		}
+		first := int64(versionsPerFence + 1)
+
+		Convey("a report from afar that shows the map before does not change what the next one builds on", func() {
+			lagging := g.report(2)
+			lagging.State.MapVersion, lagging.Direct, lagging.Asked = first, true, now
+			c.take(lagging, now)
+			c.plan(now)
+			So(settleAll(g, c, &now, 20, nil), ShouldBeNil)
+			So(c.state.Phase, ShouldEqual, Idle)
+			So(g.ranks[2].version, ShouldEqual, versionsPerFence+3)
+			So(g.ranks[2].content[g.ranks[2].version], ShouldEqual, g.ranks[0].content[g.ranks[0].version])
+		})
+	})
+}
+
 // TestOneMapInEveryPass drives coordinators that sleep, die and succeed each
 // other over a wire that loses reports and orders and carries orders out late. A
 // last coordinator then finds the group in whatever state it is and must get it
@@ -361,7 +385,7 @@
 			t.Fatal(err)
 		}
 		if g.pass != before+10 {
-			t.Fatalf("the group rests under a coordinator in phase %v", last.state.Phase)
+			t.Fatalf("the group rests before pass %d under a coordinator in phase %v: %s", g.pass+1, last.state.Phase, g)
 		}
 	})
 }
@@ -417,10 +441,10 @@
 		}
 		switch rapid.IntRange(0, 4).Draw(t, "way") {
 		case 0:
-			w.late = append(w.late, lateOrder{rank: give.Rank, order: give.Order})
+			w.late = append(w.late, lateOrder{rank: give.Rank, order: w.group.expand(give)})
 		case 1: // Lost.
 		default:
-			w.group.apply(give.Rank, give.Order)
+			w.group.apply(give.Rank, w.group.expand(give))
 			if !fenced {
 				read := w.group.report(give.Rank)
 				read.Asked = now
--- a/policy/mapswitch/orders.go
+++ b/policy/mapswitch/orders.go
@@ -26,7 +26,7 @@
 		s.Ranks[id] = rank
 		give := Give{Rank: id, Order: order}
 		if order.Kind == topology.Prepare && s.Current != nil {
-			give.From, give.FromVersion = s.Current, rank.State.MapVersion
+			give.From, give.FromVersion = s.Current, s.InUse
 		}
 		effects = append(effects, give)
 	}
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -34,7 +34,7 @@
 	if !ok {
 		return s, nil
 	}
-	s.Current = current
+	s.Current, s.InUse = current, s.Ranks[0].Lists.MapVersion
 	s.holdFloor = max(s.holdFloor, s.lastPass()+maxPassLead+1)
 	return s.move(Idle, "all ranks read", now)
 }
@@ -141,7 +141,7 @@
 	if s.Next == nil {
 		return s.move(Survey, "a predecessor's change is in force", now)
 	}
-	s.Current, s.Next = s.Next, nil
+	s.Current, s.InUse, s.Next = s.Next, s.Version, nil
 	return s.move(Idle, "in force", now)
 }
 
@@ -154,10 +154,12 @@
 		return s, moved, nil
 	}
 	if !isArmed && s.all(func(r Rank) bool { return r.State.Prepared == s.Version }) {
-		s.Current, s.Next = s.Next, nil
-		s.harmless[s.HoldPass] = true
+		s.Current, s.InUse, s.Next = s.Next, s.Ranks[0].Lists.MapVersion, nil
+		for _, rank := range s.Ranks {
+			s.harmless[rank.State.HeldPass] = true
+		}
 		s.holdFloor = max(s.holdFloor, s.lastPass()+maxPassLead+1)
-		s, moved := s.move(Idle, "predecessor's orders are void", now) // The hold is released there.
+		s, moved := s.move(Idle, "predecessor's orders are void", now) // Holds are released there.
 		return s, moved, nil
 	}
 	orders := s.order(now, topology.Order{Kind: topology.Prepare, Version: s.Version, Map: s.Next},
