Compare two random servers instead of all, so that entries don't crowd one server

Requests waited for nothing at the entries: of those that came to a server alone within a pass 2% were late, of those that came with eight others 25%. Reports of load are about a pass old, and all twelve entries took the same least loaded server until the next report. Ruled out: waiting at the desk (58 of 1,016), refusals (41 second sends). Change: the less loaded of two random servers with room, for engines; plain services, whose load only the own entry knows, as before.

--- /dev/null
+++ b/policy/dispatch/choice_test.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"persimmonwind.dev/policy/topology"
+)
+
+// busyGroup is a group of engines that several entries send to, each with reports
+// that are up to reportEvery old.
+type busyGroup struct {
+	entries  []*Desk
+	active   []int         // Requests by server.
+	ends     [][]time.Time // By server.
+	arrivals [][]time.Time // By server.
+	random   *rand.Rand
+}
+
+const (
+	reportEvery = 100 * time.Millisecond
+	groupPass   = 70 * time.Millisecond
+	streamTime  = 1600 * time.Millisecond
+)
+
+func newBusyGroup(entries, servers int) *busyGroup {
+	g := &busyGroup{
+		active: make([]int, servers), ends: make([][]time.Time, servers), arrivals: make([][]time.Time, servers),
+		random: rand.New(rand.NewPCG(1, 2)),
+	}
+	for range entries {
+		d := NewDesk(Ramp{Entries: entries})
+		d.Configure(candidates(servers, 10), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		g.entries = append(g.entries, d)
+	}
+	return g
+}
+
+// report tells all entries the load of all servers.
+func (g *busyGroup) report(now time.Time) {
+	for server := range g.active {
+		for _, d := range g.entries {
+			d.Report(fmt.Sprint("s", server), Report{Active: g.active[server], Open: true}, now)
+		}
+	}
+}
+
+// end ends the streams whose time has come. Every entry has about as many.
+func (g *busyGroup) end(now time.Time) {
+	for server := range g.ends {
+		for len(g.ends[server]) > 0 && !g.ends[server][0].After(now) {
+			g.ends[server] = g.ends[server][1:]
+			g.active[server]--
+			id := fmt.Sprint("s", server)
+			for _, d := range g.entries {
+				if d.byID[id].own > 0 {
+					d.Done(id, Served, now)
+					break
+				}
+			}
+		}
+	}
+}
+
+// crowded returns the share of requests that came to a server within a pass of
+// three or more others.
+func (g *busyGroup) crowded() float64 {
+	crowded, all := 0, 0
+	for _, arrivals := range g.arrivals {
+		for _, at := range arrivals {
+			others := -1
+			for _, other := range arrivals {
+				if distance := at.Sub(other); distance > -groupPass/2 && distance < groupPass/2 {
+					others++
+				}
+			}
+			all++
+			if others >= 3 {
+				crowded++
+			}
+		}
+	}
+	return float64(crowded) / float64(all)
+}
+
+func TestEntriesWithOldReports(t *testing.T) {
+	sizes := map[string]struct{ entries, servers, perSecond int }{
+		"today":        {4, 12, 57},
+		"after growth": {12, 63, 240},
+	}
+	for name, size := range sizes {
+		Convey("Entries whose reports are a pass old don't crowd one server: "+name, t, func() {
+			g := newBusyGroup(size.entries, size.servers)
+			now := start
+			const seconds = 20
+			for i := range seconds * size.perSecond {
+				now = now.Add(time.Second / time.Duration(size.perSecond))
+				g.end(now)
+				if i%max(1, size.perSecond/int(time.Second/reportEvery)) == 0 {
+					g.report(now)
+				}
+				decision := g.entries[g.random.IntN(size.entries)].Ask(ticket(uint64(i), now), g.random.Float64(), now)
+				if decision.Verdict != Go {
+					continue
+				}
+				var server int
+				_, err := fmt.Sscanf(decision.Server.ID, "s%d", &server)
+				So(err, ShouldBeNil)
+				g.active[server]++
+				g.ends[server] = append(g.ends[server], now.Add(streamTime))
+				g.arrivals[server] = append(g.arrivals[server], now)
+			}
+			// A pass reads about three usual prompts at a server.
+			So(g.crowded(), ShouldBeLessThan, 0.02)
+		})
+	}
+}
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -196,39 +196,6 @@
 	return decision, true
 }
 
-// choose returns the least loaded server with room, nil for none. Ties fall on
-// a random one.
-func (d *Desk) choose(ticket Ticket, random float64, now time.Time) *server {
-	var best *server
-	bestLoad, ties := 0, 0
-	for _, candidate := range d.servers {
-		if !d.hasRoom(candidate, now) || candidate.candidate.ID == ticket.Avoid && len(d.servers) > 1 {
-			continue
-		}
-		load := candidate.own + candidate.freshOthers(now)
-		if candidate.candidate.Unlisted {
-			load += lastResort
-		}
-		if candidate.fresh(now) && candidate.slowness >= slowLimit {
-			load += slowSurplus
-		}
-		switch {
-		case best == nil || load < bestLoad:
-			best, bestLoad, ties = candidate, load, 1
-		case load == bestLoad:
-			ties++
-			// Each of the tied servers is kept with the same probability.
-			if random*float64(ties) < 1 {
-				best = candidate
-			}
-			random = fraction(random * float64(ties))
-		}
-	}
-	return best
-}
-
-func fraction(x float64) float64 { return x - float64(int(x)) }
-
 func (d *Desk) describe(ticket Ticket, now time.Time) Decision {
 	decision := Decision{Ticket: ticket.ID, Limit: d.limit, Total: d.writers(now)}
 	for _, server := range d.servers {
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -77,7 +77,7 @@
 		server.health.succeeded()
 	case Busy:
 		server.busyUntil = now.Add(busyPause)
-		if d.pace.engine != nil && 2*(server.own+server.freshOthers(now)) < server.candidate.Slots {
+		if d.pace.engine != nil && 2*server.load(now) < server.candidate.Slots {
 			d.gate.refused(now)
 		}
 	case Replaced:
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -14,14 +14,9 @@
 	// reports come about every 100 ms.
 	reportLife = time.Second
 
-	// lastResort is added to the load of a server that may have left, so that any
-	// other one with room comes first.
-	lastResort = 1 << 20
 	// slowLimit is the slowness from which a rank is given work only when all
 	// others are full: in lock-step its own part is in every pass of the group.
 	slowLimit = 1.25
-	// slowSurplus is more than the places of a server.
-	slowSurplus = 1 << 10
 	// moveLimit is the slowness from which resumable streams are moved off a
 	// rank: its base time alone is then half of the longest pause that users
 	// allow. A rank without requests does not slow its group.
@@ -120,7 +115,29 @@
 	if d.pace.engine != nil && !s.fresh(now) {
 		return s.own < blindLimit
 	}
-	return s.own+s.freshOthers(now) < max(1, s.candidate.Slots)
+	return s.load(now) < max(1, s.candidate.Slots)
+}
+
+// load is the number of requests at the server, as far as known.
+func (s *server) load(now time.Time) int { return s.own + s.freshOthers(now) }
+
+// Ranks of servers, the best first.
+const (
+	usualServer = iota
+	slowServer
+	unlistedServer
+)
+
+// rank says which servers are taken before which, whatever their load.
+func (s *server) rank(now time.Time) int {
+	switch {
+	case s.candidate.Unlisted:
+		return unlistedServer
+	case s.fresh(now) && s.slowness >= slowLimit:
+		return slowServer
+	default:
+		return usualServer
+	}
 }
 
 func (s *server) fresh(now time.Time) bool {
@@ -138,7 +155,7 @@
 func (d *Desk) writers(now time.Time) int {
 	total := 0
 	for _, server := range d.servers {
-		total += server.own + server.freshOthers(now)
+		total += server.load(now)
 	}
 	return total
 }
