Put the hold of a change as many passes ahead as ranks take to be armed

Arming 63 ranks takes 60 to 150 ms there, the hold stood at the next pass, 0 to 70 ms away. Change: the coordinator observes the time of a pass and from the order to hold to the release, and puts the hold so many passes ahead that the group rests for 25 ms at most; requests log their longest pause, which showed it.

--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -26,9 +26,9 @@
 )
 
 const (
-	// passLead is how many passes ahead of the last known one the hold is put.
-	// The next pass is the soonest; a hold that comes too late for it is refused,
-	// and the answer tells which pass is the next.
+	// passLead is how many passes ahead of the last known one the hold is put at
+	// least. A hold that comes too late for its pass is refused, and the answer tells
+	// which pass is the next.
 	passLead = 1
 	// lossyPassLead holds where orders of the same change were lost: the group
 	// then has a pass to run while lost orders to arm are repeated.
@@ -36,7 +36,13 @@
 	// maxPassLead is how many passes ahead of the last known one a hold is put at
 	// most. A successor's holds are beyond all passes that it finds within it, so
 	// that a predecessor's release which takes effect late never meets them.
-	maxPassLead = 3
+	maxPassLead = 4
+	// restAllowance is the rest before a pass that users don't notice: the longest
+	// pause that they allow is 120 ms, and passes of a busy group last up to 90 ms.
+	restAllowance = 25 * time.Millisecond
+	// armTimePerRank is what holding, arming and releasing take for each rank where
+	// no change has shown it yet: calls and reports of a small machine.
+	armTimePerRank = time.Millisecond
 	// resendAfter is how long an order that shows no effect is waited for;
 	// engines on the same machine answer within a few ms.
 	resendAfter = 12 * time.Millisecond
@@ -92,13 +98,15 @@
 	HoldRank int
 	HoldPass int64
 
-	ownRank   int   // The rank beside the coordinator.
-	holdFloor int64 // Passes below it are not held: a release may be on its way.
+	heldAt    time.Time // When the hold was first ordered.
+	ownRank   int       // The rank beside the coordinator.
+	holdFloor int64     // Passes below it are not held: a release may be on its way.
 
 	succeeded bool // A rank has shown a version of a later lease; nothing is done any more.
 
 	made  int64 // Versions made under this lease.
 	lossy bool  // An order to copy had to be repeated in this change.
+	tempo tempo
 	// harmless are passes whose hold may be released at once: those that this lease
 	// has held, and those whose orders to arm were made void.
 	harmless map[int64]bool
@@ -227,6 +235,7 @@
 		s.Ranks = map[int]Rank{}
 		s.Current, s.Next = nil, nil
 		s.harmless, s.holdFloor = map[int64]bool{}, 0
+		s.tempo.pass = 0
 		s, effects = s.move(Survey, "new epoch", now)
 	}
 	rank := s.Ranks[state.Rank]
@@ -238,6 +247,7 @@
 		rank.Lists = event.Lists
 	}
 	s.Ranks[state.Rank] = rank
+	s.tempo.see(s.lastPass(), now)
 	return s, effects
 }
 
@@ -318,7 +328,10 @@
 
 // move enters a phase; orders of the phase before don't delay its own.
 func (s State) move(to Phase, reason string, now time.Time) (State, []reduce.Effect) {
-	effect := Moved{From: s.Phase, To: to, Epoch: s.Epoch, Version: s.Version, Pass: s.HoldPass, After: now.Sub(s.Since), Reason: reason}
+	effect := Moved{From: s.Phase, To: to, Epoch: s.Epoch, Version: s.Version, Pass: s.HoldPass, Reason: reason}
+	if !s.Since.IsZero() {
+		effect.After = now.Sub(s.Since)
+	}
 	s.Phase, s.Since = to, now
 	for id, rank := range s.Ranks {
 		rank.OrderAt, rank.Pending = time.Time{}, false
--- a/policy/mapswitch/orders.go
+++ b/policy/mapswitch/orders.go
@@ -49,9 +49,9 @@
 // nextHold returns the pass to hold; not ok while the group has not got far
 // enough.
 func (s State) nextHold() (pass int64, ok bool) {
-	lead := int64(passLead)
+	lead := s.tempo.lead(s.Size)
 	if s.lossy {
-		lead = lossyPassLead
+		lead = max(lead, lossyPassLead)
 	}
 	pass = max(s.lastPass()+lead, s.holdFloor)
 	return pass, pass <= s.lastPass()+maxPassLead
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -67,7 +67,7 @@
 		if !ok {
 			return s, nil, nil
 		}
-		s.HoldPass, s.HoldRank = pass, s.nextHolder()
+		s.HoldPass, s.HoldRank, s.heldAt = pass, s.nextHolder(), now
 		s, moved := s.move(Holding, "all ranks prepared", now)
 		return s, moved, nil
 	}
@@ -127,6 +127,9 @@
 func (s State) release(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
 	s, orders := s.releaseHolds(s.HoldPass, now)
 	if s.all(func(r Rank) bool { return r.State.HeldPass == 0 || r.State.HeldPass > s.HoldPass }) {
+		if s.Next != nil {
+			s.tempo.armed(now.Sub(s.heldAt))
+		}
 		s, moved := s.move(Settling, "released", now)
 		return s, moved, nil
 	}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -52,17 +52,18 @@
 	organisation *topology.Organisation // Nil for public routes.
 	deadline     time.Time              // The caller's, or the route's timeout if that is sooner.
 
-	sends     int    // Attempts that reached a connection.
-	runs      int    // Attempts that may have run.
-	tried     bool   // The request has found its group closed.
-	refused   bool   // The desk has refused; no attempt follows.
-	avoid     string // The server of the last failed attempt.
-	server    string // The server of the last attempt, for the log.
-	begun     bool   // The caller has had the head of the answer.
-	lastEvent string // Id of the last event that the caller has.
-	events    int
-	firstAt   time.Time
-	fallback  *answer // A server's own failure, delivered unless a retry succeeds.
+	sends      int    // Attempts that reached a connection.
+	runs       int    // Attempts that may have run.
+	tried      bool   // The request has found its group closed.
+	refused    bool   // The desk has refused; no attempt follows.
+	avoid      string // The server of the last failed attempt.
+	server     string // The server of the last attempt, for the log.
+	begun      bool   // The caller has had the head of the answer.
+	lastEvent  string // Id of the last event that the caller has.
+	events     int
+	firstAt    time.Time
+	longestGap time.Duration // Between two events of one server.
+	fallback   *answer       // A server's own failure, delivered unless a retry succeeds.
 }
 
 // answer is a backend server's whole answer.
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -136,7 +136,7 @@
 		c.gateway.metrics.firstAnswer.Observe(c.firstAt.Sub(c.arrived).Seconds())
 	}
 	if c.events > 0 {
-		fields["events"] = c.events
+		fields["events"], fields["longest_gap_ms"] = c.events, c.longestGap.Milliseconds()
 	}
 	c.gateway.metrics.Ended(code, time.Since(c.arrived))
 	logevent.Write(c.log, logevent.RequestEnded, fields)
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -55,6 +55,7 @@
 		now := time.Now()
 		if !lastAt.IsZero() {
 			c.gateway.desks.gap(service, now.Sub(lastAt))
+			c.longestGap = max(c.longestGap, now.Sub(lastAt))
 		}
 		lastAt = now
 		c.beginStream(exchange.Response)
