Let a change of the expert map cost 15 ms besides its copies

Cause: marginal changes (skew 1.35 to 1.34) kept the coordinator of a large group busy all the time; a jump of demand in the middle of one was answered 0.4 s later, with passes of 130 ms meanwhile.

--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -70,6 +70,10 @@
 	lightLoad = 0.5
 	// lightGain is the share of the skew that a change must save under light load.
 	lightGain = 0.15
+	// changeCost is what a change costs besides its copies: demand that jumps while
+	// a change is under way is answered a few hundred ms later, and the group may
+	// rest.
+	changeCost = 15 * time.Millisecond
 	// horizon is how long a map is taken to fit: demand jumps every 3 to 4 s, and
 	// the requests under way change within 2 s.
 	horizon = 2 * time.Second
@@ -86,7 +90,7 @@
 		return false
 	}
 	saved := gain * costs.ExpertShare * horizon.Seconds()
-	return saved > copySlowdown*float64(p.MostCopies)*costs.CopyTime.Seconds()
+	return saved > changeCost.Seconds()+copySlowdown*float64(p.MostCopies)*costs.CopyTime.Seconds()
 }
 
 const (
