--- a/server/soak/callers_test.go
+++ b/server/soak/callers_test.go
@@ -62,7 +62,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callerDeadline + time.Second}
-	paths := []string{"/stream/a", "/stream/b", "/book/a", "/look/a"}
+	paths := []string{"/stream/a", "/stream/b", "/book/a", "/book/b", "/look/a"}
 	for ctx.Err() == nil {
 		a := attempt{
 			id: fmt.Sprintf("%d-%d-%d", seed, number, k.asked.Add(1)), path: paths[random.IntN(len(paths))],
--- a/server/soak/soak_test.go
+++ b/server/soak/soak_test.go
@@ -157,7 +157,7 @@
 // run harms the world until the time comes, and waits for the last fault to end.
 func (f *faults) run(until time.Time) {
 	kinds := []func(*machine, time.Duration){
-		f.kill, f.kill, f.freeze, f.terminate, f.terminate, f.hangUp, f.cutStore, f.cutStore, f.cutBackend, f.configure, f.configure,
+		f.kill, f.kill, f.freeze, f.terminate, f.terminate, f.hangUp, f.cutStore, f.cutStore, f.cutBackend, f.cutBackend, f.cutBackend, f.configure, f.configure,
 		f.drain, f.takeOut, f.forget, f.loseOrders, f.form,
 	}
 	for time.Now().Before(until) {
@@ -237,12 +237,35 @@
 }
 
 func (f *faults) cut(m *machine, p *proxy, lasts time.Duration) {
-	modes := []linkMode{delayBytes, resetConnections, silenceBoth, silenceAnswers}
 	f.w.harm(m, lasts)
-	p.set(modes[f.random.IntN(len(modes))])
+	switch f.random.IntN(7) {
+	default:
+		f.pulse(p, lasts)
+		return
+	case 1:
+		p.set(delayBytes)
+	case 2:
+		p.set(resetConnections)
+	case 3:
+		p.set(silenceBoth)
+	case 4:
+		p.set(silenceAnswers)
+	}
 	f.later(lasts, func() { p.set(passBytes) })
 }
 
+// pulse resets the open connections again and again; new ones work.
+func (f *faults) pulse(p *proxy, lasts time.Duration) {
+	const interval = 150 * time.Millisecond
+	f.all.Go(func() {
+		for range lasts / interval {
+			p.set(resetConnections)
+			p.set(passBytes)
+			time.Sleep(interval)
+		}
+	})
+}
+
 // configure changes the configuration, twice in quick succession at times.
 func (f *faults) configure(_ *machine, _ time.Duration) {
 	for range 1 + f.random.IntN(2) {
