Order a hold through a third machine, and look at it again before ranks are armed

Change: an agent that is neither the coordinator's nor the holder's gives the order to the holder's engine; when the hold is seen in place that agent is read again; where it does not answer within 100 ms the hold is released, since no rank has been armed. No hold is put before every rank has been heard a moment ago, and since then.

--- a/policy/mapswitch/group_test.go
+++ b/policy/mapswitch/group_test.go
@@ -144,7 +144,9 @@
 }
 
 func newCoordinate(fence uint64, rank int) *coordinate {
-	return &coordinate{state: New(fence, rank)}
+	c := &coordinate{state: New(fence, rank)}
+	c.state.hearing = time.Hour // Reads come seldom in the model.
+	return c
 }
 
 func (c *coordinate) take(event reduce.Event, now time.Time) {
--- /dev/null
+++ b/policy/mapswitch/hold.go
@@ -0,0 +1,133 @@
+package mapswitch
+
+import (
+	"time"
+
+	"persimmonwind.dev/policy/reduce"
+	"persimmonwind.dev/policy/topology"
+)
+
+const (
+	// holdPatience is how long the return of the order to hold is waited for once
+	// the hold is in place: several calls between small machines.
+	holdPatience = 100 * time.Millisecond
+	// heardWithin and heardPerRank bound the age of the latest read of every rank
+	// before a hold: ranks are read every 24 ms, and every 2 ms a rank in large
+	// groups; two reads may be lost.
+	heardWithin  = 60 * time.Millisecond
+	heardPerRank = 4 * time.Millisecond
+)
+
+// hold puts the hold. Ranks are armed only when it is in place and the machine
+// that gave the order still answers: one that stopped just then could not be armed.
+func (s State) hold(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
+	holder := s.Ranks[s.HoldRank]
+	held := holder.State.HeldPass
+	switch {
+	case held == s.HoldPass && s.holdAnswered && s.lookedAt.IsZero():
+		s.lookedAt = now
+		return s, nil, []reduce.Effect{Look{Rank: s.holdGiver}}
+	case held == s.HoldPass && s.holdAnswered && s.giverLives():
+		s, moved := s.move(Arming, "hold is in place", now)
+		return s, moved, nil
+	case held == s.HoldPass && now.Sub(s.Since) > holdPatience:
+		// No rank has been armed for the pass, so the group may go on.
+		s, orders := s.releaseHolds(held, now)
+		s.silentAt = now
+		s, moved := s.move(Preparing, "the machine that gave the order to hold does not answer", now)
+		return s, moved, orders
+	case held == s.HoldPass:
+		return s, nil, nil
+	case held != 0:
+		// An earlier hold took effect late; all ranks have prepared a later version than
+		// any that was to be armed for it.
+		s, orders := s.releaseHolds(held, now)
+		return s, nil, orders
+	case s.lastPass() >= s.HoldPass || s.holderAway():
+		if pass, ok := s.nextHold(); ok {
+			s.HoldPass = pass
+		}
+		s = s.takeHolder()
+	}
+	s.harmless[s.HoldPass] = true
+	orders := s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
+	for i := range orders {
+		give := orders[i].(Give)
+		give.Through = s.holdGiver
+		orders[i] = give
+	}
+	return s, nil, orders
+}
+
+// takeHolder takes the next rank for the hold: the hold before was refused or came
+// too late, or an agent is away.
+func (s State) takeHolder() State {
+	s.HoldRank, s.holdGiver = s.nextHolder()
+	s.holdAnswered, s.lookedAt = false, time.Time{}
+	holder := s.Ranks[s.HoldRank]
+	holder.OrderAt, holder.Pending = time.Time{}, false
+	s.Ranks[s.HoldRank] = holder
+	return s
+}
+
+// giverLives reports whether the agent that gave the order to hold has answered a
+// call that was made after the hold was seen in place.
+func (s State) giverLives() bool {
+	giver := s.Ranks[s.holdGiver]
+	return !giver.Direct && !giver.AskedAt.Before(s.lookedAt)
+}
+
+// holderAway reports whether another rank, or another agent to give the order, is
+// to be taken.
+func (s State) holderAway() bool {
+	holder, giver := s.nextHolder()
+	return (s.Ranks[s.HoldRank].Direct || s.Ranks[s.holdGiver].Direct) && (holder != s.HoldRank || giver != s.holdGiver)
+}
+
+// nextHold returns the pass to hold; not ok while the group has not got far
+// enough.
+func (s State) nextHold() (pass int64, ok bool) {
+	lead := s.tempo.lead(s.Size)
+	if s.lossy {
+		lead = max(lead, lossyPassLead)
+	}
+	pass = max(s.lastPass()+lead, s.holdFloor)
+	return pass, pass <= s.lastPass()+maxPassLead
+}
+
+// nextHolder returns the rank at which to put a hold, and the one whose agent gives
+// the order. Both are on other machines than the coordinator where there are enough
+// whose agents can be called: whichever of the three machines stops just then, the
+// hold can be released.
+func (s State) nextHolder() (holder, giver int) {
+	var callable []int
+	for i := range s.Size {
+		if id := (s.ownRank + 1 + i) % s.Size; !s.Ranks[id].Direct {
+			callable = append(callable, id)
+		}
+	}
+	switch len(callable) {
+	case 0:
+		return s.ownRank, s.ownRank
+	case 1:
+		return callable[0], callable[0]
+	default:
+		return callable[0], callable[1]
+	}
+}
+
+// allHeard reports whether every rank has been read a moment ago, and since a
+// machine was last silent. One whose machine
+// stands still can't be armed, and the group would rest until it moves again.
+func (s State) allHeard(now time.Time) bool {
+	return s.all(func(r Rank) bool {
+		return now.Sub(r.AskedAt) < s.hearingLimit() && r.AskedAt.After(s.silentAt)
+	})
+}
+
+func (s State) hearingLimit() time.Duration {
+	if s.hearing != 0 {
+		return s.hearing
+	}
+	return heardWithin + time.Duration(s.Size)*heardPerRank
+}
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -98,9 +98,14 @@
 	HoldRank int
 	HoldPass int64
 
-	heldAt    time.Time // When the hold was first ordered.
-	ownRank   int       // The rank beside the coordinator.
-	holdFloor int64     // Passes below it are not held: a release may be on its way.
+	heldAt       time.Time     // When the hold was first ordered.
+	holdGiver    int           // The rank whose agent gives the order to hold.
+	holdAnswered bool          // Its call has returned.
+	lookedAt     time.Time     // When the giver was looked at again; zero before.
+	silentAt     time.Time     // When a giver of a hold did not answer; zero for never.
+	hearing      time.Duration // Overrides the hearing limit; 0 for the usual one.
+	ownRank      int           // The rank beside the coordinator.
+	holdFloor    int64         // Passes below it are not held: a release may be on its way.
 
 	succeeded bool // A rank has shown a version of a later lease; nothing is done any more.
 
@@ -142,8 +147,12 @@
 // EventName implements reduce.Event.
 func (RankRead) EventName() string { return "mapswitch.rank_read" }
 
-// Given tells that the call of an order has returned, whatever came of it.
-type Given struct{ Rank int }
+// Given tells that the call of an order has returned, whatever came of the order.
+type Given struct {
+	Rank     int
+	Kind     topology.OrderKind
+	Answered bool // By an agent, or by the engine itself.
+}
 
 // EventName implements reduce.Event.
 func (Given) EventName() string { return "mapswitch.given" }
@@ -165,11 +174,19 @@
 	// nil for others. A rank's own report may lag behind that version.
 	From        Map
 	FromVersion int64
+	// Through is the rank whose agent gives the order: the rank itself, but for holds.
+	Through int
 }
 
 // EffectName implements reduce.Effect.
 func (Give) EffectName() string { return "mapswitch.give" }
 
+// Look asks to read a rank at once.
+type Look struct{ Rank int }
+
+// EffectName implements reduce.Effect.
+func (Look) EffectName() string { return "mapswitch.look" }
+
 // Moved reports a change of phase, for the log.
 type Moved struct {
 	From, To Phase
@@ -204,6 +221,9 @@
 			rank.Pending = false
 			s.Ranks[event.Rank] = rank
 		}
+		if event.Kind == topology.Hold && event.Answered && event.Rank == s.HoldRank {
+			s.holdAnswered = true
+		}
 	case Planned:
 		if s.Phase == Idle && event.Epoch == s.Epoch {
 			s.Next = event.Map
--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -30,7 +30,7 @@
 				read := g.report(give.Rank)
 				read.Asked = *now
 				c.take(read, *now)
-				c.take(Given{Rank: give.Rank}, *now)
+				c.take(Given{Rank: give.Rank, Kind: give.Order.Kind, Answered: true}, *now)
 			}
 		}
 		if err := g.begin(); err != nil {
@@ -306,6 +306,87 @@
 	})
 }
 
+func TestMachineThatStopsWithTheHold(t *testing.T) {
+	Convey("Given a change whose hold is ordered", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.plan(now)
+		for range 20 {
+			if c.state.Phase == Holding {
+				break
+			}
+			for _, effect := range c.pending {
+				if give, ok := effect.(Give); ok {
+					g.apply(give.Rank, g.expand(give))
+				}
+			}
+			c.pending = nil
+			now = now.Add(20 * time.Millisecond)
+			readRanks(g, c, now)
+		}
+		So(c.state.Phase, ShouldEqual, Holding)
+		order := c.pending[len(c.pending)-1].(Give)
+		So(order.Order.Kind, ShouldEqual, topology.Hold)
+
+		Convey("the order goes through a third machine", func() {
+			So(order.Through, ShouldNotEqual, order.Rank)
+			So(order.Through, ShouldNotEqual, 0)
+			So(order.Rank, ShouldNotEqual, 0)
+		})
+
+		Convey("where that machine answers the call and stops then, the group goes on, and there is no hold before it is heard again", func() {
+			g.apply(order.Rank, order.Order)
+			c.pending = nil
+			c.take(Given{Rank: order.Rank, Kind: topology.Hold, Answered: true}, now)
+			others := func() {
+				for rank := range g.ranks {
+					if rank != order.Through {
+						read := g.report(rank)
+						read.Asked = now
+						c.take(read, now)
+					}
+				}
+			}
+			for range 50 {
+				now = now.Add(20 * time.Millisecond)
+				others()
+				for _, effect := range c.pending {
+					if give, ok := effect.(Give); ok {
+						So(give.Order.Kind, ShouldBeIn, topology.Hold, topology.Release)
+						if give.Order.Kind == topology.Release {
+							g.apply(give.Rank, give.Order)
+						}
+					}
+				}
+				c.pending = nil
+				So(g.begin(), ShouldBeNil)
+			}
+			So(g.pass, ShouldBeGreaterThan, 40)
+			So(c.state.Phase, ShouldNotEqual, Arming)
+			So(settleAll(g, c, &now, 40, nil), ShouldBeNil)
+			So(g.ranks[0].version, ShouldBeGreaterThan, 0)
+		})
+	})
+	Convey("Given a rank that is not heard while others copy", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.state.hearing = 200 * time.Millisecond
+		c.plan(now)
+		for range 20 {
+			now = now.Add(20 * time.Millisecond)
+			for rank := range 3 {
+				read := g.report(rank)
+				read.State.Prepared, read.Asked = c.state.Version, now
+				c.take(read, now)
+			}
+		}
+		read := g.report(3)
+		read.State.Prepared, read.Asked = c.state.Version, now.Add(-time.Second)
+		c.take(read, now)
+		Convey("no hold is put", func() { So(c.state.Phase, ShouldEqual, Preparing) })
+	})
+}
+
 // TestOneMapInEveryPass drives coordinators that sleep, die and succeed each
 // other over a wire that loses reports and orders and carries orders out late. A
 // last coordinator then finds the group in whatever state it is and must get it
@@ -434,7 +515,7 @@
 		if !ok || give.Rank >= len(w.group.ranks) {
 			continue
 		}
-		fenced := c.state.Fence < w.fences[give.Rank]
+		fenced := c.state.Fence < w.fences[give.Through]
 		away := rapid.IntRange(0, 4).Draw(t, "agent away") == 0
 		if (fenced || away) && (give.Order.Kind == topology.Hold || give.Order.Kind == topology.Release) {
 			continue // All other orders may go past an agent that is away.
@@ -445,14 +526,14 @@
 		case 1: // Lost.
 		default:
 			w.group.apply(give.Rank, w.group.expand(give))
-			if !fenced {
+			if !fenced && give.Through == give.Rank {
 				read := w.group.report(give.Rank)
 				read.Asked = now
 				c.take(read, now)
 			}
 		}
 		if rapid.IntRange(0, 3).Draw(t, "call returns") > 0 {
-			c.take(Given{Rank: give.Rank}, now)
+			c.take(Given{Rank: give.Rank, Kind: give.Order.Kind, Answered: rapid.Bool().Draw(t, "answered")}, now)
 		}
 	}
 }
--- a/policy/mapswitch/orders.go
+++ b/policy/mapswitch/orders.go
@@ -24,7 +24,7 @@
 		}
 		rank.OrderAt, rank.Pending = now, true
 		s.Ranks[id] = rank
-		give := Give{Rank: id, Order: order}
+		give := Give{Rank: id, Order: order, Through: id}
 		if order.Kind == topology.Prepare && s.Current != nil {
 			give.From, give.FromVersion = s.Current, s.InUse
 		}
@@ -46,29 +46,6 @@
 	return true
 }
 
-// nextHold returns the pass to hold; not ok while the group has not got far
-// enough.
-func (s State) nextHold() (pass int64, ok bool) {
-	lead := s.tempo.lead(s.Size)
-	if s.lossy {
-		lead = max(lead, lossyPassLead)
-	}
-	pass = max(s.lastPass()+lead, s.holdFloor)
-	return pass, pass <= s.lastPass()+maxPassLead
-}
-
-// nextHolder returns the rank at which to put a hold: one beside another machine,
-// whose agent can be called. Whatever stops the coordinator then leaves a hold that
-// its successor can release.
-func (s State) nextHolder() int {
-	for i := range s.Size {
-		if id := (s.ownRank + 1 + i) % s.Size; !s.Ranks[id].Direct {
-			return id
-		}
-	}
-	return s.ownRank
-}
-
 // releaseHolds releases the holds of passes up to the last one.
 func (s State) releaseHolds(last int64, now time.Time) (State, []reduce.Effect) {
 	var effects []reduce.Effect
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -64,10 +64,11 @@
 	}
 	if s.all(func(r Rank) bool { return r.State.Prepared == s.Version }) {
 		pass, ok := s.nextHold()
-		if !ok {
+		if !ok || !s.allHeard(now) {
 			return s, nil, nil
 		}
-		s.HoldPass, s.HoldRank, s.heldAt = pass, s.nextHolder(), now
+		s.HoldPass, s.heldAt = pass, now
+		s = s.takeHolder()
 		s, moved := s.move(Holding, "all ranks prepared", now)
 		return s, moved, nil
 	}
@@ -77,37 +78,6 @@
 	return s, nil, orders
 }
 
-func (s State) hold(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
-	holder := s.Ranks[s.HoldRank]
-	switch {
-	case holder.State.HeldPass == s.HoldPass:
-		s, moved := s.move(Arming, "hold is in place", now)
-		return s, moved, nil
-	case holder.State.HeldPass != 0:
-		// An earlier hold took effect late; all ranks have prepared a later version than
-		// any that was to be armed for it.
-		s, orders := s.releaseHolds(holder.State.HeldPass, now)
-		return s, nil, orders
-	case s.lastPass() >= s.HoldPass || holder.Direct && s.nextHolder() != s.HoldRank:
-		s = s.holdElsewhere()
-	}
-	s.harmless[s.HoldPass] = true
-	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
-}
-
-// holdElsewhere takes another pass or rank: the hold before was refused or came too
-// late, or the rank's agent is away.
-func (s State) holdElsewhere() State {
-	if pass, ok := s.nextHold(); ok {
-		s.HoldPass = pass
-	}
-	s.HoldRank = s.nextHolder()
-	holder := s.Ranks[s.HoldRank]
-	holder.OrderAt, holder.Pending = time.Time{}, false
-	s.Ranks[s.HoldRank] = holder
-	return s
-}
-
 func (s State) arm(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
 	armed := func(r Rank) bool {
 		return r.State.MapVersion == s.Version || r.State.Armed == s.Version && r.State.ArmedPass == s.HoldPass
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -82,7 +82,7 @@
 
 // Prepare makes the agent ready to serve and run.
 func (a *Agent) Prepare() {
-	a.rank = NewRank(a.Engine)
+	a.rank = NewRank(a.Engine, a.Direct)
 	a.peers = rpc.NewPool(nil)
 }
 
--- a/server/mapcontrol/bench_test.go
+++ b/server/mapcontrol/bench_test.go
@@ -132,6 +132,8 @@
 	model := topology.Engine{Slots: 10, Stride: 7, StepMS: 4.84, PerSequenceMS: 0.435, Sets: 8, Experts: 252, Places: 5, NewPerSet: 2, ExpertMB: 320, LinkMbps: 180000}
 	for b.Loop() {
 		engines := newModelEngines(63, model)
+		byAddress := map[string]Engine{}
+		direct := func(address string) Engine { return byAddress[address] }
 		var members []Member
 		var listeners []net.Listener
 		for rank := range engines.size {
@@ -140,8 +142,9 @@
 				b.Fatal(err)
 			}
 			listeners = append(listeners, listener)
-			receiver := NewRank(modelEngine{engines, rank})
+			receiver := NewRank(modelEngine{engines, rank}, direct)
 			go func() { _ = rpc.Serve(listener, map[string]any{receiverName: receiver}) }()
+			byAddress[listener.Addr().String()] = modelEngine{engines, rank}
 			members = append(members, Member{Server: listener.Addr().String(), Agent: listener.Addr().String()})
 		}
 		metrics := NewMetrics(prometheus.NewRegistry())
@@ -149,7 +152,7 @@
 		c := &coordinator{
 			fence: 1, group: "g", members: func() []Member { return members }, peers: rpc.NewPool(nil), log: log, counters: metrics,
 			planner: newPlanner(func() *topology.Engine { return &model }, "g", log, metrics),
-			direct:  func(string) Engine { return modelEngine{engines, 0} },
+			direct:  direct,
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		go func() {
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -198,6 +198,14 @@
 	c.loop.Post(read)
 }
 
+// member returns the member that is the rank; not ok where it is not known.
+func (c *coordinator) member(rank int) (Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	member, ok := c.addresses[rank]
+	return member, ok
+}
+
 func (c *coordinator) isRank(member Member) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,11 +220,14 @@
 func (c *coordinator) execute(ctx context.Context, effect reduce.Effect) {
 	switch effect := effect.(type) {
 	case mapswitch.Give:
-		c.mu.Lock()
-		member, ok := c.addresses[effect.Rank]
-		c.mu.Unlock()
-		if ok {
-			go c.give(ctx, member, effect)
+		member, ok := c.member(effect.Rank)
+		through, okThrough := c.member(effect.Through)
+		if ok && okThrough {
+			go c.give(ctx, member, through, effect)
+		}
+	case mapswitch.Look:
+		if member, ok := c.member(effect.Rank); ok {
+			go c.read(ctx, member, false, false)
 		}
 	case mapswitch.Resigned:
 		logevent.Write(c.log, logevent.LeaseSucceeded, logrus.Fields{"group": c.group, "fence": c.fence, "version": effect.Version})
@@ -230,19 +241,21 @@
 	}
 }
 
-// give passes an order to a rank. Orders that copy, arm or disarm may go to the
-// engine itself where the agent is away; a hold is only put and released by an
-// agent, which refuses a coordinator that has been succeeded.
-func (c *coordinator) give(ctx context.Context, member Member, give mapswitch.Give) {
-	asked, order, isDirect := time.Now(), give.Order, false
-	defer c.loop.Post(mapswitch.Given{Rank: give.Rank})
+// give passes an order to a rank through an agent. Orders that copy, arm or disarm
+// may go to the engine itself where the agent is away; a hold is only put and
+// released by an agent, which refuses a coordinator that has been succeeded.
+func (c *coordinator) give(ctx context.Context, member, through Member, give mapswitch.Give) {
+	asked, order := time.Now(), give.Order
+	given := mapswitch.Given{Rank: give.Rank, Kind: order.Kind}
+	read := mapswitch.RankRead{Asked: asked}
+	defer func() { c.loop.Post(given) }()
 	var reply GiveReply
-	if err := c.pass(ctx, member, give, &reply); err != nil {
+	if err := c.pass(ctx, member, through, give, &reply); err != nil {
 		if c.resigned(err) || order.Kind == topology.Hold || order.Kind == topology.Release {
 			c.logOrder(member, order, err.Error())
 			return
 		}
-		isDirect = true
+		read.Direct = true
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		if err := giveInto(callCtx, c.direct(member.Server), order, &reply); err != nil {
@@ -250,16 +263,26 @@
 			return
 		}
 	}
+	given.Answered = true
 	if reply.Problem != "" {
 		c.logOrder(member, order, reply.Problem)
 	}
-	c.learn(member, mapswitch.RankRead{State: reply.State, Asked: asked, Direct: isDirect})
+	if through != member {
+		go c.read(ctx, member, false, false) // Only its own agent reads it fresh.
+		return
+	}
+	read.State = reply.State
+	c.learn(member, read)
 }
 
 // pass passes an order to a rank's agent: where the agent knows the map in use,
 // what changes in it.
-func (c *coordinator) pass(ctx context.Context, member Member, give mapswitch.Give, reply *GiveReply) error {
+func (c *coordinator) pass(ctx context.Context, member, through Member, give mapswitch.Give, reply *GiveReply) error {
 	whole := GiveArgs{Caller: c.caller(), Order: give.Order}
+	if through != member {
+		whole.Server = member.Server
+		return c.call(ctx, through.Agent, methodGive, whole, reply)
+	}
 	if give.From == nil {
 		return c.call(ctx, member.Agent, methodGive, whole, reply)
 	}
--- a/server/mapcontrol/mapcontrol_test.go
+++ b/server/mapcontrol/mapcontrol_test.go
@@ -114,7 +114,7 @@
 func TestFencing(t *testing.T) {
 	Convey("An agent passes no order of a coordinator that has been succeeded", t, func() {
 		engine := &countingEngine{}
-		rank := NewRank(engine)
+		rank := NewRank(engine, nil)
 		var read ReadReply
 		So(rank.Read(ReadArgs{Caller: Caller{Fence: 2}}, &read), ShouldBeNil)
 		var reply GiveReply
@@ -126,7 +126,7 @@
 		So(reply.State.Group, ShouldEqual, "g")
 	})
 	Convey("Counts are told as what was gained since they were last read", t, func() {
-		rank := NewRank(&countingEngine{})
+		rank := NewRank(&countingEngine{}, nil)
 		var first, second ReadReply
 		So(rank.Read(ReadArgs{Counts: true}, &first), ShouldBeNil)
 		So(first.Gains, ShouldBeNil)
@@ -135,7 +135,7 @@
 	})
 	Convey("An order to copy may build on a map that the agent knows, and on no other", t, func() {
 		engine := &countingEngine{}
-		rank := NewRank(engine)
+		rank := NewRank(engine, nil)
 		whole := mapswitch.Map{{{0, 1}, {2}}}
 		var reply GiveReply
 		So(rank.Give(GiveArgs{Order: topology.Order{Kind: topology.Prepare, Version: 1, Map: whole}}, &reply), ShouldBeNil)
@@ -145,7 +145,7 @@
 		So(reply.UnknownBase, ShouldBeFalse)
 		So(engine.last.Map, ShouldResemble, mapswitch.Map{{{0, 1}, {2, 0}}})
 		dealt := GiveArgs{Order: topology.Order{Kind: topology.Prepare, Version: 3}, InTurn: mapswitch.Shape{Sets: 1, Experts: 3, Ranks: 2}, Changes: changes}
-		So(NewRank(engine).Give(dealt, &reply), ShouldBeNil)
+		So(NewRank(engine, nil).Give(dealt, &reply), ShouldBeNil)
 		So(engine.last.Map, ShouldResemble, mapswitch.Map{{{0, 2}, {2, 0}}})
 		next.Base, next.Order.Version = 7, 4
 		So(rank.Give(next, &reply), ShouldBeNil)
@@ -153,7 +153,7 @@
 		So(engine.orders, ShouldEqual, 3)
 	})
 	Convey("A call of a succeeded coordinator does not count as a sign of life", t, func() {
-		rank := NewRank(&countingEngine{})
+		rank := NewRank(&countingEngine{}, nil)
 		rank.fence = 5
 		before := rank.heardAt
 		var read ReadReply
--- a/server/mapcontrol/rank.go
+++ b/server/mapcontrol/rank.go
@@ -57,6 +57,9 @@
 type GiveArgs struct {
 	Caller
 	Order topology.Order
+	// Server is the engine that gets the order, host:port, where that is not the one
+	// beside the agent.
+	Server string
 	// An order to copy may hold changes instead of a map: to the map of version
 	// Base, or to the one with which a group of the shape begins.
 	Base    int64
@@ -80,6 +83,7 @@
 // Rank answers a coordinator's calls; its methods are called over RPC.
 type Rank struct {
 	engine Engine
+	direct func(address string) Engine // For orders to other engines.
 
 	mu      sync.Mutex
 	fence   uint64 // The highest seen.
@@ -89,9 +93,9 @@
 	maps    map[int64]mapswitch.Map // By version: the last two that were to be copied.
 }
 
-// NewRank returns the receiver for the engine.
-func NewRank(engine Engine) *Rank {
-	return &Rank{engine: engine, heardAt: time.Now(), maps: map[int64]mapswitch.Map{}}
+// NewRank returns the receiver for the engine; direct returns other engines.
+func NewRank(engine Engine, direct func(address string) Engine) *Rank {
+	return &Rank{engine: engine, direct: direct, heardAt: time.Now(), maps: map[int64]mapswitch.Map{}}
 }
 
 // Read returns what the rank knows.
@@ -156,6 +160,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	if args.Server != "" {
+		// Its report would lag when it is read from here.
+		return giveOnly(ctx, r.direct(args.Server), order, reply)
+	}
 	return giveInto(ctx, r.engine, order, reply)
 }
 
@@ -186,7 +194,8 @@
 	return next, true
 }
 
-func giveInto(ctx context.Context, engine Engine, order topology.Order, reply *GiveReply) error {
+// giveOnly gives the order; the reply says what the engine thought of it.
+func giveOnly(ctx context.Context, engine Engine, order topology.Order, reply *GiveReply) error {
 	err := engine.Give(ctx, order)
 	if err != nil && !errors.Is(err, platform.ErrUnfit) && !errors.Is(err, platform.ErrUnknownOutcome) {
 		return err
@@ -194,6 +203,15 @@
 	if err != nil {
 		reply.Problem = err.Error()
 	}
+	return nil
+}
+
+// giveInto gives the order and reads the engine's report after it.
+func giveInto(ctx context.Context, engine Engine, order topology.Order, reply *GiveReply) error {
+	err := giveOnly(ctx, engine, order, reply)
+	if err != nil {
+		return err
+	}
 	if reply.State, err = engine.Report(ctx); err != nil {
 		return fmt.Errorf("read report after order: %w", err)
 	}
