Don't delay the first change of an epoch, and leave a lease to the agent that just took it

Change: a lease's row holds the store's time of its taking, and another agent leaves it alone for 0.8 s; where all ranks still have the map with which the group formed and nothing prepared, nobody has held a pass.

--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -387,6 +387,27 @@
 	})
 }
 
+func TestFirstChangeOfAnEpoch(t *testing.T) {
+	Convey("The first change of an epoch holds one of the next passes", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.plan(now)
+		before := g.pass
+		So(settleAll(g, c, &now, 6, nil), ShouldBeNil)
+		So(g.ranks[0].version, ShouldBeGreaterThan, 0)
+		So(c.state.HoldPass-before, ShouldBeLessThanOrEqualTo, 4)
+
+		Convey("that of a successor holds none that its predecessor may have released", func() {
+			second := newCoordinate(2, 1)
+			So(settleAll(g, second, &now, 4, nil), ShouldBeNil)
+			read := g.pass
+			second.plan(now)
+			So(settleAll(g, second, &now, 20, nil), ShouldBeNil)
+			So(second.state.HoldPass, ShouldBeGreaterThan, read+1)
+		})
+	})
+}
+
 // TestOneMapInEveryPass drives coordinators that sleep, die and succeed each
 // other over a wire that loses reports and orders and carries orders out late. A
 // last coordinator then finds the group in whatever state it is and must get it
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -35,10 +35,21 @@
 		return s, nil
 	}
 	s.Current, s.InUse = current, s.Ranks[0].Lists.MapVersion
-	s.holdFloor = max(s.holdFloor, s.lastPass()+maxPassLead+1)
+	if !s.untouched() {
+		s.holdFloor = max(s.holdFloor, s.lastPass()+maxPassLead+1)
+	}
 	return s.move(Idle, "all ranks read", now)
 }
 
+// untouched reports whether no coordinator has got as far as a hold in this epoch:
+// before that all ranks have prepared a version. Demand has usually jumped when a
+// group forms, so the first change must not wait for passes that nobody has held.
+func (s State) untouched() bool {
+	return s.all(func(r Rank) bool {
+		return !r.Direct && r.State.MapVersion == 0 && r.State.Prepared == 0 && r.State.Armed == 0
+	})
+}
+
 // lists puts the map in use together from the ranks' lists.
 func (s State) lists() (Map, bool) {
 	var current Map
--- a/server/mapcontrol/lease.go
+++ b/server/mapcontrol/lease.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"persimmonwind.dev/platform"
 )
@@ -12,7 +13,11 @@
 // leaseTable holds a row a group: who coordinates its expert map.
 const leaseTable = "map_leases"
 
-// errLeaseLost means that another agent took the lease first.
+// firstCalls is how long an agent that has taken the lease needs at most until it
+// has called all others: it reads the list of servers before.
+const firstCalls = 800 * time.Millisecond
+
+// errLeaseLost means that another agent took the lease first, or a moment ago.
 var errLeaseLost = errors.New("another agent took the lease")
 
 // Store is what a lease needs of the platform's store.
@@ -24,13 +29,22 @@
 // leaseRow is the value of a lease's row. It changes only when the lease is
 // taken: liveness is told by the holder's calls.
 type leaseRow struct {
-	Holder string `json:"holder"`
-	Fence  uint64 `json:"fence"`
+	Holder  string `json:"holder"`
+	Fence   uint64 `json:"fence"`
+	TakenMS int64  `json:"taken_ms"` // On the store's steady clock, as read before the write.
+}
+
+// justTaken reports whether another agent took the lease so shortly before the time
+// of the store that it may not have called anyone yet. A clock that has started
+// anew proves nothing.
+func (r leaseRow) justTaken(self string, now time.Duration) bool {
+	age := now - time.Duration(r.TakenMS)*time.Millisecond
+	return r.Holder != self && r.TakenMS > 0 && age >= 0 && age < firstCalls
 }
 
 // takeLease takes the group's lease and returns its number, which is higher
 // than every number before. It fails with errLeaseLost where another agent was
-// faster.
+// faster, or took it a moment ago.
 func takeLease(ctx context.Context, store Store, group, self string, seen uint64) (uint64, error) {
 	row, err := store.Get(ctx, leaseTable, group)
 	if err != nil {
@@ -42,7 +56,10 @@
 			return 0, fmt.Errorf("decode lease of group %q: %w", group, err)
 		}
 	}
-	next := leaseRow{Holder: self, Fence: max(current.Fence, seen) + 1}
+	if current.justTaken(self, row.ReadAt) {
+		return 0, errLeaseLost
+	}
+	next := leaseRow{Holder: self, Fence: max(current.Fence, seen) + 1, TakenMS: row.ReadAt.Milliseconds()}
 	row.Value, err = json.Marshal(next)
 	if err != nil {
 		return 0, fmt.Errorf("encode lease: %w", err)
--- a/server/mapcontrol/mapcontrol_test.go
+++ b/server/mapcontrol/mapcontrol_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
@@ -21,6 +22,7 @@
 // rowStore holds one row; lose makes the answer of the next write get lost.
 type rowStore struct {
 	mu   sync.Mutex
+	now  time.Duration
 	row  platform.Row
 	lose bool
 }
@@ -28,7 +30,9 @@
 func (s *rowStore) Get(context.Context, string, string) (platform.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.row, nil
+	row := s.row
+	row.ReadAt = s.now
+	return row, nil
 }
 
 func (s *rowStore) CompareAndSet(_ context.Context, row platform.Row) (uint64, error) {
@@ -66,6 +70,23 @@
 		So(err, ShouldBeNil)
 		So(fence, ShouldEqual, 9)
 	})
+	Convey("An agent leaves the lease to one that took it a moment ago, whatever clocks do", t, func() {
+		store := &rowStore{now: time.Hour}
+		first, err := takeLease(ctx, store, "g", "a", 0)
+		So(err, ShouldBeNil)
+		store.now += firstCalls / 2
+		_, err = takeLease(ctx, store, "g", "b", 0)
+		So(errors.Is(err, errLeaseLost), ShouldBeTrue)
+		_, err = takeLease(ctx, store, "g", "a", 0) // It has started again.
+		So(err, ShouldBeNil)
+		store.now += 2 * firstCalls
+		second, err := takeLease(ctx, store, "g", "b", 0)
+		So(err, ShouldBeNil)
+		So(second, ShouldBeGreaterThan, first)
+		store.now = time.Minute // The store has started again.
+		_, err = takeLease(ctx, store, "g", "c", 0)
+		So(err, ShouldBeNil)
+	})
 	Convey("Of agents that race, one wins", t, func() {
 		store := &rowStore{}
 		var wg sync.WaitGroup
