Ask the giver of a hold again as soon as it has answered

Cause: the second call to the machine that gave the order to hold waited for the report that shows the hold in place, one more turn on a slow link.

--- a/policy/mapswitch/hold.go
+++ b/policy/mapswitch/hold.go
@@ -24,9 +24,6 @@
 	holder := s.Ranks[s.HoldRank]
 	held := holder.State.HeldPass
 	switch {
-	case held == s.HoldPass && s.holdAnswered && s.lookedAt.IsZero():
-		s.lookedAt = now
-		return s, nil, []reduce.Effect{Look{Rank: s.holdGiver}}
 	case held == s.HoldPass && s.holdAnswered && s.giverLives():
 		s, moved := s.move(Arming, "hold is in place", now)
 		return s, moved, nil
@@ -70,11 +67,21 @@
 	return s
 }
 
+// answered notes that the order to hold was given, and asks to look at its giver
+// again: a machine that stops with the order may still have answered it.
+func (s State) answered(now time.Time) (State, []reduce.Effect) {
+	if s.holdAnswered {
+		return s, nil
+	}
+	s.holdAnswered, s.lookedAt = true, now
+	return s, []reduce.Effect{Look{Rank: s.holdGiver}}
+}
+
 // giverLives reports whether the agent that gave the order to hold has answered a
-// call that was made after the hold was seen in place.
+// call that was made after that.
 func (s State) giverLives() bool {
 	giver := s.Ranks[s.holdGiver]
-	return !giver.Direct && !giver.AskedAt.Before(s.lookedAt)
+	return !giver.Direct && giver.AskedAt.After(s.lookedAt)
 }
 
 // holderAway reports whether another rank, or another agent to give the order, is
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -222,7 +222,7 @@
 			s.Ranks[event.Rank] = rank
 		}
 		if event.Kind == topology.Hold && event.Answered && event.Rank == s.HoldRank {
-			s.holdAnswered = true
+			s, effects = s.answered(input.Now)
 		}
 	case Planned:
 		if s.Phase == Idle && event.Epoch == s.Epoch {
