--- a/policy/mapswitch/hold.go
+++ b/policy/mapswitch/hold.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// holdPatience is how long the return of the order to hold is waited for once
-	// the hold is in place: several calls between small machines.
+	// holdPatience is how long a hold stands at most before ranks are armed for it:
+	// several calls between small machines.
 	holdPatience = 100 * time.Millisecond
 	// heardWithin and heardPerRank bound the age of the latest read of every rank
 	// before a hold: ranks are read every 24 ms, and every 2 ms a rank in large
@@ -123,9 +123,9 @@
 	}
 }
 
-// allHeard reports whether every rank has been read a moment ago, and since a
-// machine was last silent. One whose machine
-// stands still can't be armed, and the group would rest until it moves again.
+// allHeard reports whether every rank has been read a moment ago, and since a giver
+// was last silent. A rank whose machine stands still can't be armed, and the group
+// would rest until that machine moves again.
 func (s State) allHeard(now time.Time) bool {
 	return s.all(func(r Rank) bool {
 		return now.Sub(r.AskedAt) < s.hearingLimit() && r.AskedAt.After(s.silentAt)
