--- a/server/soak/world_test.go
+++ b/server/soak/world_test.go
@@ -170,10 +170,13 @@
 	w.machines = append(w.machines, m)
 }
 
-// start starts the process.
+// start starts the process unless it runs: faults that overlap may both start it.
 func (m *machine) start(t *testing.T) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.runs() {
+		return
+	}
 	m.command = exec.Command(binary, "platform", m.role)
 	m.command.Env = append(os.Environ(), m.variable)
 	m.command.Stdout, m.command.Stderr = m.log, m.log
@@ -190,6 +193,19 @@
 	}()
 }
 
+// runs reports whether the process has been started and has not ended.
+func (m *machine) runs() bool {
+	if m.exited == nil {
+		return false
+	}
+	select {
+	case <-m.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 func (m *machine) signal(signal syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -199,13 +215,20 @@
 // kill ends the process at once, also when it is stopped.
 func (m *machine) kill() {
 	m.signal(syscall.SIGKILL)
-	<-m.exited
+	<-m.ended()
+}
+
+// ended returns the channel that is closed when the present process has ended.
+func (m *machine) ended() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.exited
 }
 
 // awaitExit waits for the process to end by itself.
 func (m *machine) awaitExit() bool {
 	select {
-	case <-m.exited:
+	case <-m.ended():
 		return true
 	case <-time.After(exitLimit):
 		return false
