--- /dev/null
+++ b/policy/mapswitch/hold_test.go
@@ -0,0 +1,200 @@
+package mapswitch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"persimmonwind.dev/policy/topology"
+)
+
+func TestHoldOfAnotherLeaseDuringRelease(t *testing.T) {
+	Convey("Given a change that all ranks are armed for", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(2, 1), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.plan(now)
+		for range 20 {
+			if c.state.Phase == Holding {
+				break
+			}
+			So(settleAll(g, c, &now, 1, nil), ShouldBeNil)
+		}
+		So(settleAll(g, c, &now, 1, nil), ShouldBeNil) // The hold is put.
+		now = now.Add(50 * time.Millisecond)
+		readRanks(g, c, now)
+		So(c.state.Phase, ShouldEqual, Arming)
+
+		Convey("a hold that a predecessor has put at an earlier pass does not stop the group", func() {
+			So(c.state.HoldPass, ShouldBeGreaterThan, g.pass)
+			g.apply(3, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: g.pass + 1})
+			before := g.pass
+			So(settleAll(g, c, &now, 20, nil), ShouldBeNil)
+			So(g.pass, ShouldBeGreaterThan, before+5)
+			So(c.state.Phase, ShouldEqual, Idle)
+		})
+
+		Convey("nor does one at a later pass", func() {
+			g.apply(3, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: c.state.HoldPass + 1})
+			before := g.pass
+			So(settleAll(g, c, &now, 30, nil), ShouldBeNil)
+			So(g.pass, ShouldBeGreaterThan, before+5)
+		})
+	})
+}
+
+func TestReleaseThatTakesEffectLate(t *testing.T) {
+	Convey("Given a group at rest whose hold was released by an order that is still on its way too", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		held := g.pass + 1
+		g.apply(0, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: held})
+		second := newCoordinate(2, 0)
+		var late topology.Order
+		for range 40 {
+			now = now.Add(50 * time.Millisecond)
+			readRanks(g, second, now)
+			for _, effect := range second.pending {
+				if give, ok := effect.(Give); ok {
+					g.apply(give.Rank, give.Order)
+					if give.Order.Kind == topology.Release {
+						late = give.Order
+					}
+				}
+			}
+			second.pending = nil
+		}
+		So(late.Pass, ShouldEqual, held)
+		So(g.ranks[0].held, ShouldEqual, 0)
+
+		Convey("neither the coordinator nor its successor holds that pass again", func() {
+			second.plan(now)
+			third := newCoordinate(3, 0)
+			for _, c := range []*coordinate{second, third} {
+				for range 40 {
+					now = now.Add(50 * time.Millisecond)
+					readRanks(g, c, now)
+					if c == third && c.plans == 0 {
+						c.plan(now)
+					}
+					for _, effect := range c.pending {
+						if give, ok := effect.(Give); ok {
+							if give.Order.Kind == topology.Hold {
+								So(give.Order.Pass, ShouldBeGreaterThan, held)
+							}
+							g.apply(give.Rank, give.Order)
+						}
+					}
+					c.pending = nil
+				}
+				So(c.plans, ShouldEqual, 1)
+				// Its hold is left behind and released, so that the next one finds none.
+				for _, r := range g.ranks {
+					r.held = 0
+				}
+			}
+		})
+	})
+}
+
+func TestMachineThatStopsWithTheHold(t *testing.T) {
+	Convey("Given a change whose hold is ordered", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.plan(now)
+		for range 20 {
+			if c.state.Phase == Holding {
+				break
+			}
+			for _, effect := range c.pending {
+				if give, ok := effect.(Give); ok {
+					g.apply(give.Rank, g.expand(give))
+				}
+			}
+			c.pending = nil
+			now = now.Add(20 * time.Millisecond)
+			readRanks(g, c, now)
+		}
+		So(c.state.Phase, ShouldEqual, Holding)
+		order := c.pending[len(c.pending)-1].(Give)
+		So(order.Order.Kind, ShouldEqual, topology.Hold)
+
+		Convey("the order goes through a third machine", func() {
+			So(order.Through, ShouldNotEqual, order.Rank)
+			So(order.Through, ShouldNotEqual, 0)
+			So(order.Rank, ShouldNotEqual, 0)
+		})
+
+		Convey("where that machine answers the call and stops then, the group goes on, and there is no hold before it is heard again", func() {
+			g.apply(order.Rank, order.Order)
+			c.pending = nil
+			c.take(Given{Rank: order.Rank, Kind: topology.Hold, Answered: true}, now)
+			others := func() {
+				for rank := range g.ranks {
+					if rank != order.Through {
+						read := g.report(rank)
+						read.Asked = now
+						c.take(read, now)
+					}
+				}
+			}
+			for range 50 {
+				now = now.Add(20 * time.Millisecond)
+				others()
+				for _, effect := range c.pending {
+					if give, ok := effect.(Give); ok {
+						So(give.Order.Kind, ShouldBeIn, topology.Hold, topology.Release)
+						if give.Order.Kind == topology.Release {
+							g.apply(give.Rank, give.Order)
+						}
+					}
+				}
+				c.pending = nil
+				So(g.begin(), ShouldBeNil)
+			}
+			So(g.pass, ShouldBeGreaterThan, 40)
+			So(c.state.Phase, ShouldNotEqual, Arming)
+			So(settleAll(g, c, &now, 40, nil), ShouldBeNil)
+			So(g.ranks[0].version, ShouldBeGreaterThan, 0)
+		})
+	})
+	Convey("Given a rank that is not heard while others copy", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.state.hearing = 200 * time.Millisecond
+		c.plan(now)
+		for range 20 {
+			now = now.Add(20 * time.Millisecond)
+			for rank := range 3 {
+				read := g.report(rank)
+				read.State.Prepared, read.Asked = c.state.Version, now
+				c.take(read, now)
+			}
+		}
+		read := g.report(3)
+		read.State.Prepared, read.Asked = c.state.Version, now.Add(-time.Second)
+		c.take(read, now)
+		Convey("no hold is put", func() { So(c.state.Phase, ShouldEqual, Preparing) })
+	})
+}
+
+func TestFirstChangeOfAnEpoch(t *testing.T) {
+	Convey("The first change of an epoch holds one of the next passes", t, func() {
+		g, c, now := newModelGroup(4), newCoordinate(1, 0), start
+		So(settleAll(g, c, &now, 4, nil), ShouldBeNil)
+		c.plan(now)
+		before := g.pass
+		So(settleAll(g, c, &now, 6, nil), ShouldBeNil)
+		So(g.ranks[0].version, ShouldBeGreaterThan, 0)
+		So(c.state.HoldPass-before, ShouldBeLessThanOrEqualTo, 4)
+
+		Convey("that of a successor holds none that its predecessor may have released", func() {
+			second := newCoordinate(2, 1)
+			So(settleAll(g, second, &now, 4, nil), ShouldBeNil)
+			read := g.pass
+			second.plan(now)
+			So(settleAll(g, second, &now, 20, nil), ShouldBeNil)
+			So(second.state.HoldPass, ShouldBeGreaterThan, read+1)
+		})
+	})
+}
