Order the calls of the keyed fuzz test as they were started

The check took the order of two calls from the clock of their goroutines. A call started second may read its clock first, pause, and reach its entry after the first was refused: it is then a repeat after the refusal, which may run; the check took it for one that had arrived before. "Arrived" only says that a call had arrived before the calls started after it.

Ruled out: the row.

Change: calls carry the order in which they were started. A call that had arrived before the refused one was started excuses nothing, as before (TestLaterCall).

--- a/server/once/fuzz_test.go
+++ b/server/once/fuzz_test.go
@@ -251,22 +251,22 @@
 	key      string
 	body     string
 	patience time.Duration // The caller leaves after it.
+	order    int           // Of sending. The goroutines that send may run in another one.
 	arrived  *atomic.Bool  // Its entry read the row before the next call was sent.
 }
 
 // outcome is what the caller got; the zero status means that it left.
 type outcome struct {
 	call
-	sent, got time.Time
-	status    int
-	answer    string
-	notRun    bool
+	status int
+	answer string
+	notRun bool
 }
 
 func (b *bench) call(c call) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), c.patience)
 	defer cancel()
-	o := outcome{call: c, sent: time.Now()}
+	o := outcome{call: c}
 	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.entries[c.entry]+"/v1/services/certifications/stamp", strings.NewReader(c.body))
 	request.Header.Set("Authorization", "Bearer dev-key")
 	if c.key != "" {
@@ -281,7 +281,7 @@
 	if err != nil {
 		return o
 	}
-	o.got, o.status, o.answer = time.Now(), response.StatusCode, string(body)
+	o.status, o.answer = response.StatusCode, string(body)
 	var refusal struct {
 		Error struct {
 			NotRun bool `json:"not_run"`
@@ -325,7 +325,7 @@
 // call sent before may be such a repeat, unless it is known to have arrived.
 func laterCall(outcomes []outcome, o outcome) bool {
 	for _, other := range outcomes {
-		if other.sent.After(o.sent) || (other.sent.Before(o.sent) && !other.arrived.Load()) {
+		if other.order > o.order || (other.order < o.order && !other.arrived.Load()) {
 			return true
 		}
 	}
@@ -357,12 +357,14 @@
 		bodies := make([]string, keys)
 		var mu sync.Mutex
 		var group sync.WaitGroup
-		for range rapid.IntRange(2, 9).Draw(rt, "calls") {
+		calls := rapid.IntRange(2, 9).Draw(rt, "calls")
+		for order := range calls {
 			key := rapid.IntRange(0, keys-1).Draw(rt, "key")
 			bodies[key] = fmt.Sprintf(`"round %d key %d"`, round, key)
 			c := call{
 				entry: rapid.IntRange(0, 2).Draw(rt, "entry"), key: bodies[key], body: bodies[key],
 				patience: rapid.SampledFrom([]time.Duration{4 * time.Millisecond, 15 * time.Millisecond, 20 * time.Second}).Draw(rt, "patience"),
+				order:    order,
 				arrived:  new(atomic.Bool),
 			}
 			reads := b.fronts[c.entry].count(c.key)
@@ -384,7 +386,7 @@
 			b.check(rt, body, results[key])
 			if body != "" {
 				// A last repeat settles the key: its "not run" must stay true.
-				last := b.call(call{entry: round % 2, key: body, body: body, patience: 20 * time.Second, arrived: new(atomic.Bool)})
+				last := b.call(call{entry: round % 2, key: body, body: body, patience: 20 * time.Second, order: calls, arrived: new(atomic.Bool)})
 				results[key] = append(results[key], last)
 				b.check(rt, body, results[key])
 			}
@@ -406,3 +408,29 @@
 	}
 	return faults
 }
+
+func TestLaterCall(t *testing.T) {
+	calls := func(arrived ...bool) []outcome {
+		outcomes := make([]outcome, len(arrived))
+		for order := range outcomes {
+			outcomes[order].order, outcomes[order].arrived = order, new(atomic.Bool)
+			outcomes[order].arrived.Store(arrived[order])
+		}
+		return outcomes
+	}
+	for _, c := range []struct {
+		name     string
+		outcomes []outcome
+		told     int
+		later    bool
+	}{
+		{"a call sent after it", calls(false, true), 0, true},
+		{"a call sent before that may be on its way", calls(false, false), 1, true},
+		{"a call sent before that had arrived", calls(true, false), 1, false},
+		{"no other call", calls(false), 0, false},
+	} {
+		if later := laterCall(c.outcomes, c.outcomes[c.told]); later != c.later {
+			t.Errorf("%s: later %t", c.name, later)
+		}
+	}
+}
