Move streams off a backend server that is silent while its group goes on

Change: policy/dispatch/silence.go finds a server with requests that sent nothing for 500 ms while others of its group were heard within 250 ms; a group that stands still as a whole has no silent server. The entry passes it over as one that was not reached, and moves the streams that may go on elsewhere. Log event 325.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	freed   []time.Time // When places became free, within rateWindow.
 	limit   int         // Places of all servers together; 0 for no bound.
 	gate    gate
+
+	groupSince time.Time // Since when the group's servers are heard of; zero while none is.
 }
 
 // NewDesk returns the desk of a service.
@@ -98,8 +100,9 @@
 	d.servers, d.byID = servers, byID
 }
 
-// Gap takes in the time between two events of a stream.
-func (d *Desk) Gap(gap time.Duration, now time.Time) {
+// Gap takes in the time between two events of a stream at a server.
+func (d *Desk) Gap(id string, gap time.Duration, now time.Time) {
+	d.Heard(id, now)
 	d.pace.observe(gap, d.writers(now), now)
 }
 
@@ -190,8 +193,7 @@
 	}
 	decision := d.describe(ticket, now)
 	decision.Verdict, decision.Server, decision.Reason = Go, best.candidate, "least_loaded"
-	best.own++
-	best.tokens.take(now)
+	best.take(now)
 	d.gate.passed()
 	return decision, true
 }
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -159,7 +159,7 @@
 		}
 		for range 50 {
 			now = now.Add(10 * time.Millisecond)
-			d.Gap(150*time.Millisecond, now) // 60 requests under a skew that is too much.
+			d.Gap("s0", 150*time.Millisecond, now) // 60 requests under a skew that is too much.
 		}
 		for i := range 12 {
 			d.Report(fmt.Sprint("s", i), Report{Queued: 0, Active: 2, Open: true}, now)
@@ -290,7 +290,7 @@
 				now = now.Add(10 * time.Millisecond)
 				// 3 * 29 ms without work, and 12 ms for 40 requests.
 				d.writersFor(40, now)
-				d.Gap(99*time.Millisecond, now)
+				d.Gap("s0", 99*time.Millisecond, now)
 			}
 			So(d.pace.limit(12), ShouldBeGreaterThan, 40)
 		})
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -31,10 +31,21 @@
 	closed    bool    // The server's group takes no work.
 	slowness  float64 // 1 for a usual server.
 	busyUntil time.Time
+	takenAt   time.Time // When the first of the own requests under way was sent.
+	heardAt   time.Time // When it last sent an event.
 	health    health
 	tokens    rampTokens
 }
 
+// take notes that a request is sent to the server.
+func (s *server) take(now time.Time) {
+	if s.own == 0 {
+		s.takenAt = now
+	}
+	s.own++
+	s.tokens.take(now)
+}
+
 // Report is the load of a server as reported from beside it.
 type Report struct {
 	Queued int
--- /dev/null
+++ b/policy/dispatch/silence.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// silentAfter is how long a server with requests sends nothing before it
+	// counts as silent: four of the longest pauses that users allow, and two
+	// retransmissions of a lost packet. Callers leave after two seconds.
+	silentAfter = 500 * time.Millisecond
+	// groupHeardWithin is how recently another server of the group must have been
+	// heard of: two of the longest passes. If none was, the group stands still and
+	// its streams are as well off where they are.
+	groupHeardWithin = 250 * time.Millisecond
+)
+
+// Heard notes that a server has sent an event of a stream.
+func (d *Desk) Heard(id string, now time.Time) {
+	if server := d.byID[id]; server != nil {
+		server.heardAt = now
+	}
+}
+
+// FindSilent returns the servers that have requests of this entry and send
+// nothing while others of their group do, and passes them over for a while.
+// All servers of a group advance together, so the machine of such a server
+// stands still, or the way to it is cut in one direction. Streams that may go on
+// elsewhere should.
+//
+// A silence that began while the whole group stood still is counted from the
+// moment at which the group went on.
+func (d *Desk) FindSilent(now time.Time) []string {
+	if d.pace.engine == nil {
+		return nil // Calls of plain services end when they end.
+	}
+	d.followGroup(now)
+	if d.groupSince.IsZero() {
+		return nil
+	}
+	var silent []string
+	for _, server := range d.servers {
+		if server.own == 0 || server.health.excluded(now) {
+			continue
+		}
+		if now.Sub(latest(server.heardAt, server.takenAt, d.groupSince)) >= silentAfter {
+			server.health.unreached(now)
+			silent = append(silent, server.candidate.ID)
+		}
+	}
+	return silent
+}
+
+// followGroup keeps the moment since which servers of the group have been heard
+// of without a long break; the zero time while none is.
+func (d *Desk) followGroup(now time.Time) {
+	heard := false
+	for _, server := range d.servers {
+		heard = heard || !server.heardAt.IsZero() && now.Sub(server.heardAt) < groupHeardWithin
+	}
+	switch {
+	case !heard:
+		d.groupSince = time.Time{}
+	case d.groupSince.IsZero():
+		d.groupSince = now
+	}
+}
+
+func latest(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
+}
--- /dev/null
+++ b/policy/dispatch/silence_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"persimmonwind.dev/policy/topology"
+)
+
+// pass is the time between two events of a stream in these tests.
+const pass = 80 * time.Millisecond
+
+// streamingDesk is the desk of an engine's service with one stream at each
+// server.
+func streamingDesk(servers int) *Desk {
+	d := NewDesk(Ramp{Entries: 1})
+	d.Configure(candidates(servers, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+	for _, server := range d.servers {
+		server.take(start)
+	}
+	return d
+}
+
+// write lets the servers send an event in each pass until the time is over, and
+// returns the servers that were found silent meanwhile.
+func write(d *Desk, from time.Time, lasting time.Duration, servers ...string) (silent []string, now time.Time) {
+	for now = from; now.Sub(from) < lasting; now = now.Add(pass) {
+		for _, id := range servers {
+			d.Heard(id, now)
+		}
+		silent = append(silent, d.FindSilent(now)...)
+	}
+	return silent, now
+}
+
+func TestOneSilentServer(t *testing.T) {
+	Convey("Given a group in which every server writes", t, func() {
+		d := streamingDesk(3)
+		silent, now := write(d, start, 2*time.Second, "s0", "s1", "s2")
+		So(silent, ShouldBeEmpty)
+
+		Convey("a server that falls silent while the others write is found, once", func() {
+			silent, now = write(d, now, silentAfter+3*pass, "s0", "s2")
+			So(silent, ShouldResemble, []string{"s1"})
+			Convey("and gets no new requests for a while", func() {
+				for i := range 4 {
+					decision := d.Ask(ticket(uint64(i), now), float64(i)/4, now)
+					So(decision.Verdict, ShouldEqual, Go)
+					So(decision.Server.ID, ShouldNotEqual, "s1")
+				}
+			})
+			Convey("and after its pause is tried again", func() {
+				d.Done("s1", CallerLeft, now)
+				_, now = write(d, now, firstExclusion, "s0", "s2")
+				So(d.byID["s1"].health.excluded(now), ShouldBeFalse)
+			})
+		})
+		Convey("no server is found where the whole group stands still", func() {
+			silent, _ = write(d, now, 3*time.Second)
+			So(silent, ShouldBeEmpty)
+		})
+		Convey("a group that goes on after standing still has time to write", func() {
+			_, now = write(d, now, 3*time.Second)
+			d.Heard("s0", now)
+			So(d.FindSilent(now), ShouldBeEmpty)
+			silent, _ = write(d, now.Add(pass), 2*time.Second, "s0", "s1", "s2")
+			So(silent, ShouldBeEmpty)
+		})
+		Convey("a server without requests here can't be silent", func() {
+			d.Done("s1", Served, now)
+			silent, now = write(d, now, 2*time.Second, "s0", "s2")
+			So(silent, ShouldBeEmpty)
+			Convey("and its next request has as long as any to be heard of", func() {
+				d.byID["s1"].take(now)
+				silent, _ = write(d, now, silentAfter-pass, "s0", "s2")
+				So(silent, ShouldBeEmpty)
+			})
+		})
+	})
+	Convey("Servers of a plain service are never found silent: calls take as long as they take", t, func() {
+		d := plainDesk(2, 4)
+		d.byID["s0"].take(start)
+		d.byID["s1"].take(start)
+		silent, _ := write(d, start, 3*time.Second, "s0")
+		So(silent, ShouldBeEmpty)
+	})
+}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -195,9 +196,13 @@
 	return last
 }
 
-// errMoved is the cause of an exchange that ends so that its stream goes on at
-// another server.
-var errMoved = errors.New("moved off a server that holds up its group")
+// The causes of an exchange that ends so that its stream goes on at another
+// server.
+var (
+	errMoved       = errors.New("moved off its server")
+	errMovedSlow   = fmt.Errorf("%w, which holds up its group", errMoved)
+	errMovedSilent = fmt.Errorf("%w, which is silent while its group goes on", errMoved)
+)
 
 // exchange sends the request and relays the answer. The outcome is what it says
 // of the server. A resumable stream may be moved off the server meanwhile.
@@ -244,7 +249,7 @@
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "status %d, stamped %t, encoded %t", exchange.Response.StatusCode, said.Stamped, said.Encoded)
 	}
 	if c.route.Kind == topology.Stream && exchange.Response.StatusCode < http.StatusMultipleChoices {
-		return c.relayStream(ctx, service, exchange)
+		return c.relayStream(ctx, service, server.ID, exchange)
 	}
 	return c.relayWhole(ctx, exchange)
 }
@@ -269,7 +274,7 @@
 	case c.http.Context().Err() != nil:
 		return dispatch.CallerLeft, result.Errorf(result.Cancelled, "the caller has left")
 	case errors.Is(context.Cause(ctx), errMoved):
-		return dispatch.CallerLeft, result.Errorf(result.CutAnswer, "%v", errMoved)
+		return dispatch.CallerLeft, result.Errorf(result.CutAnswer, "%v", context.Cause(ctx))
 	case ctx.Err() != nil:
 		return dispatch.CallerLeft, result.Errorf(result.DeadlineExceeded, "no whole answer within the time left")
 	default:
--- a/server/gateway/desks.go
+++ b/server/gateway/desks.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/server/logevent"
 )
 
 // pollInterval is how often waiting requests are looked at beside the moments
@@ -17,6 +20,7 @@
 // desks holds one desk for each service and lets requests wait for it.
 type desks struct {
 	ramp dispatch.Ramp
+	log  *logrus.Entry
 
 	mu       sync.Mutex
 	snapshot *topology.Snapshot
@@ -30,8 +34,8 @@
 	movable map[string]map[*call]context.CancelCauseFunc // Streams that may be moved, by server.
 }
 
-func newDesks(ramp dispatch.Ramp) *desks {
-	return &desks{ramp: ramp, byName: map[string]*desk{}}
+func newDesks(ramp dispatch.Ramp, log *logrus.Entry) *desks {
+	return &desks{ramp: ramp, log: log, byName: map[string]*desk{}}
 }
 
 // configure passes a new snapshot to all desks.
@@ -122,9 +126,14 @@
 	d.with(service, func(desk *desk) { desk.Accepted() })
 }
 
+// heard notes that a server has sent the first event of a stream.
+func (d *desks) heard(service, server string) {
+	d.with(service, func(desk *desk) { desk.Heard(server, time.Now()) })
+}
+
 // gap takes in the time between two events of a stream.
-func (d *desks) gap(service string, gap time.Duration) {
-	d.with(service, func(desk *desk) { desk.Gap(gap, time.Now()) })
+func (d *desks) gap(service, server string, gap time.Duration) {
+	d.with(service, func(desk *desk) { desk.Gap(server, gap, time.Now()) })
 }
 
 // report takes in the load of a server from the agent beside it, and moves
@@ -132,15 +141,29 @@
 func (d *desks) report(service, server string, report dispatch.Report) {
 	d.with(service, func(desk *desk) {
 		desk.Report(server, report, time.Now())
-		if len(desk.movable[server]) == 0 || !desk.MoveOff(server, time.Now()) {
-			return
-		}
-		for _, move := range desk.movable[server] {
-			move(errMoved)
+		if len(desk.movable[server]) > 0 && desk.MoveOff(server, time.Now()) {
+			desk.moveOff(server, errMovedSlow)
 		}
 	})
 }
 
+// moveOff lets the streams at a server that may go on elsewhere do so.
+func (d *desk) moveOff(server string, cause error) {
+	for _, move := range d.movable[server] {
+		move(cause)
+	}
+}
+
+// leaveSilent moves streams off servers that are silent while their group goes on.
+func (d *desks) leaveSilent(service string, desk *desk) {
+	for _, server := range desk.FindSilent(time.Now()) {
+		logevent.Write(d.log, logevent.ServerSilent, logrus.Fields{
+			"service": service, "server": server, "movable": len(desk.movable[server]), "config": d.snapshot.Config.Version,
+		})
+		desk.moveOff(server, errMovedSilent)
+	}
+}
+
 // allowMove lets the stream be moved off the server until the returned function
 // is called.
 func (d *desks) allowMove(service, server string, c *call, move context.CancelCauseFunc) (forbid func()) {
@@ -179,7 +202,8 @@
 			return
 		}
 		d.mu.Lock()
-		for _, desk := range d.byName {
+		for name, desk := range d.byName {
+			d.leaveSilent(name, desk)
 			desk.settle()
 		}
 		d.mu.Unlock()
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -53,7 +53,7 @@
 	return &Gateway{
 		desks: newDesks(dispatch.Ramp{
 			Overshoot: settings.WarmUpOvershoot, Allowance: settings.WarmUpAllowance, Entries: assumedEntries,
-		}),
+		}, log),
 		pool:    upstream.NewPool(upstream.Dial),
 		log:     log,
 		metrics: metrics,
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -31,7 +31,7 @@
 
 // relayStream passes whole events on as they come. A stream that goes on at
 // another server keeps the head of its first answer.
-func (c *call) relayStream(ctx context.Context, service string, exchange *upstream.Exchange) (dispatch.Outcome, *result.Error) {
+func (c *call) relayStream(ctx context.Context, service, server string, exchange *upstream.Exchange) (dispatch.Outcome, *result.Error) {
 	reader := bufio.NewReader(exchange.Response.Body)
 	var lastAt time.Time
 	for {
@@ -53,8 +53,10 @@
 			return outcome, failure
 		}
 		now := time.Now()
-		if !lastAt.IsZero() {
-			c.gateway.desks.gap(service, now.Sub(lastAt))
+		if lastAt.IsZero() {
+			c.gateway.desks.heard(service, server)
+		} else {
+			c.gateway.desks.gap(service, server, now.Sub(lastAt))
 			c.longestGap = max(c.longestGap, now.Sub(lastAt))
 		}
 		lastAt = now
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -18,6 +18,7 @@
 	AttemptFailed  = define(322, "attempt_failed", logrus.InfoLevel, "A backend server did not answer a request in full; the decision about another attempt is given.")
 	CallerGone     = define(324, "caller_gone", logrus.DebugLevel, "The caller's connection broke off while its answer was written.")
 	HeaderRejected = define(323, "header_rejected", logrus.WarnLevel, "A caller's header can't be read; the request goes on without it.")
+	ServerSilent   = define(325, "server_silent", logrus.WarnLevel, "A backend server sends nothing while others of its group do; it is passed over for a while and streams that may go on elsewhere are moved.")
 )
 
 // Leases of the expert maps' coordinators.
