Look at the giver of a hold again some time after its answer

Cause: a machine that stops because of its order to hold a pass was looked at once, right after the answer, and could still answer that look.

Change: the look is asked 20 ms after the answer; the hold waits so much longer.

--- a/policy/mapswitch/hold.go
+++ b/policy/mapswitch/hold.go
@@ -10,7 +10,11 @@
 const (
 	// holdPatience is how long a hold stands at most before ranks are armed for it:
 	// several calls between small machines.
-	holdPatience = 100 * time.Millisecond
+	holdPatience = 100*time.Millisecond + holdSettle
+	// holdSettle is how long after the answer to an order to hold its giver is looked
+	// at again. A machine that stops because of the order, or with its answer, has
+	// done so by then: the call itself takes about 5 ms.
+	holdSettle = 20 * time.Millisecond
 	// heardWithin and heardPerRank bound the age of the latest read of every rank
 	// before a hold: ranks are read every 24 ms, and every 2 ms a rank in large
 	// groups; two reads may be lost.
@@ -24,7 +28,7 @@
 	holder := s.Ranks[s.HoldRank]
 	held := holder.State.HeldPass
 	switch {
-	case held == s.HoldPass && s.holdAnswered && s.giverLives():
+	case held == s.HoldPass && s.giverLives():
 		s, moved := s.move(Arming, "hold is in place", now)
 		return s, moved, nil
 	case held == s.HoldPass && now.Sub(s.Since) > holdPatience:
@@ -34,7 +38,8 @@
 		s, moved := s.move(Preparing, "the machine that gave the order to hold does not answer", now)
 		return s, moved, orders
 	case held == s.HoldPass:
-		return s, nil, nil
+		s, look := s.lookAgain(now)
+		return s, nil, look
 	case held != 0:
 		// An earlier hold took effect late; all ranks have prepared a later version than
 		// any that was to be armed for it.
@@ -60,28 +65,28 @@
 // too late, or an agent is away.
 func (s State) takeHolder() State {
 	s.HoldRank, s.holdGiver = s.nextHolder()
-	s.holdAnswered, s.lookedAt = false, time.Time{}
+	s.answeredAt, s.lookedAt = time.Time{}, time.Time{}
 	holder := s.Ranks[s.HoldRank]
 	holder.OrderAt, holder.Pending = time.Time{}, false
 	s.Ranks[s.HoldRank] = holder
 	return s
 }
 
-// answered notes that the order to hold was given, and asks to look at its giver
-// again: a machine that stops with the order may still have answered it.
-func (s State) answered(now time.Time) (State, []reduce.Effect) {
-	if s.holdAnswered {
+// lookAgain asks to look at the giver of the order to hold some time after its
+// answer: a machine that stops with the order may still have answered it.
+func (s State) lookAgain(now time.Time) (State, []reduce.Effect) {
+	if s.answeredAt.IsZero() || !s.lookedAt.IsZero() || now.Sub(s.answeredAt) < holdSettle {
 		return s, nil
 	}
-	s.holdAnswered, s.lookedAt = true, now
+	s.lookedAt = now
 	return s, []reduce.Effect{Look{Rank: s.holdGiver}}
 }
 
 // giverLives reports whether the agent that gave the order to hold has answered a
-// call that was made after that.
+// call that was made some time after that.
 func (s State) giverLives() bool {
 	giver := s.Ranks[s.holdGiver]
-	return !giver.Direct && giver.AskedAt.After(s.lookedAt)
+	return !s.answeredAt.IsZero() && !giver.Direct && giver.AskedAt.Sub(s.answeredAt) >= holdSettle
 }
 
 // holderAway reports whether another rank, or another agent to give the order, is
--- a/policy/mapswitch/hold_test.go
+++ b/policy/mapswitch/hold_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/policy/topology"
 )
 
@@ -125,10 +126,8 @@
 			So(order.Rank, ShouldNotEqual, 0)
 		})
 
-		Convey("where that machine answers the call and stops then, the group goes on, and there is no hold before it is heard again", func() {
-			g.apply(order.Rank, order.Order)
+		stops := func() {
 			c.pending = nil
-			c.take(Given{Rank: order.Rank, Kind: topology.Hold, Answered: true}, now)
 			others := func() {
 				for rank := range g.ranks {
 					if rank != order.Through {
@@ -156,6 +155,32 @@
 			So(c.state.Phase, ShouldNotEqual, Arming)
 			So(settleAll(g, c, &now, 40, nil), ShouldBeNil)
 			So(g.ranks[0].version, ShouldBeGreaterThan, 0)
+		}
+		Convey("where that machine answers the call and stops then, the group goes on, and there is no hold before it is heard again", func() {
+			g.apply(order.Rank, order.Order)
+			c.take(Given{Rank: order.Rank, Kind: topology.Hold, Answered: true}, now)
+			stops()
+		})
+		Convey("the same holds where it stops just after it has been looked at", func() {
+			g.apply(order.Rank, order.Order)
+			c.take(Given{Rank: order.Rank, Kind: topology.Hold, Answered: true}, now)
+			now = now.Add(time.Millisecond)
+			readRanks(g, c, now)
+			So(c.state.Phase, ShouldEqual, Holding)
+			stops()
+		})
+		Convey("a machine that goes on is looked at again, and the ranks are armed", func() {
+			g.apply(order.Rank, order.Order)
+			c.take(Given{Rank: order.Rank, Kind: topology.Hold, Answered: true}, now)
+			c.pending = nil
+			now = now.Add(holdSettle)
+			read := g.report(order.Rank)
+			read.Asked = now
+			c.take(read, now)
+			So(c.pending, ShouldResemble, []reduce.Effect{Look{Rank: order.Through}})
+			now = now.Add(time.Millisecond)
+			readRanks(g, c, now)
+			So(c.state.Phase, ShouldEqual, Arming)
 		})
 	})
 	Convey("Given a rank that is not heard while others copy", t, func() {
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -98,14 +98,14 @@
 	HoldRank int
 	HoldPass int64
 
-	heldAt       time.Time     // When the hold was first ordered.
-	holdGiver    int           // The rank whose agent gives the order to hold.
-	holdAnswered bool          // Its call has returned.
-	lookedAt     time.Time     // When the giver was looked at again; zero before.
-	silentAt     time.Time     // When a giver of a hold did not answer; zero for never.
-	hearing      time.Duration // Overrides the hearing limit; 0 for the usual one.
-	ownRank      int           // The rank beside the coordinator.
-	holdFloor    int64         // Passes below it are not held: a release may be on its way.
+	heldAt     time.Time     // When the hold was first ordered.
+	holdGiver  int           // The rank whose agent gives the order to hold.
+	answeredAt time.Time     // When its call returned; zero before.
+	lookedAt   time.Time     // When the giver was looked at again; zero before.
+	silentAt   time.Time     // When a giver of a hold did not answer; zero for never.
+	hearing    time.Duration // Overrides the hearing limit; 0 for the usual one.
+	ownRank    int           // The rank beside the coordinator.
+	holdFloor  int64         // Passes below it are not held: a release may be on its way.
 
 	succeeded bool // A rank has shown a version of a later lease; nothing is done any more.
 
@@ -221,8 +221,8 @@
 			rank.Pending = false
 			s.Ranks[event.Rank] = rank
 		}
-		if event.Kind == topology.Hold && event.Answered && event.Rank == s.HoldRank {
-			s, effects = s.answered(input.Now)
+		if event.Kind == topology.Hold && event.Answered && event.Rank == s.HoldRank && s.answeredAt.IsZero() {
+			s.answeredAt = input.Now
 		}
 	case Planned:
 		if s.Phase == Idle && event.Epoch == s.Epoch {
