Give a server longer before its first event; try a silent one with one request

A server that stands still took up to four requests at each new try.

Change: a server without any event of its requests has a second; a silent one that is tried again gets one request until it is heard of. A finished answer is hearing.

--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -74,6 +74,7 @@
 	switch outcome {
 	case Served:
 		d.freed = append(d.freed, now)
+		d.Heard(id, now)
 		server.health.succeeded()
 	case Busy:
 		server.busyUntil = now.Add(busyPause)
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -33,6 +33,7 @@
 	busyUntil time.Time
 	takenAt   time.Time // When the first of the own requests under way was sent.
 	heardAt   time.Time // When it last sent an event.
+	silent    bool      // Found silent and not heard of since.
 	health    health
 	tokens    rampTokens
 }
@@ -120,7 +121,7 @@
 	if now.Before(s.busyUntil) || s.closed && s.fresh(now) || s.health.excluded(now) {
 		return false
 	}
-	if !s.tokens.has(d.ramp, now) {
+	if s.silent && s.own > 0 || !s.tokens.has(d.ramp, now) {
 		return false
 	}
 	if d.pace.engine != nil && !s.fresh(now) {
--- a/policy/dispatch/silence.go
+++ b/policy/dispatch/silence.go
@@ -10,6 +10,10 @@
 	// counts as silent: four of the longest pauses that users allow, and two
 	// retransmissions of a lost packet. Callers leave after two seconds.
 	silentAfter = 500 * time.Millisecond
+	// firstSilentAfter holds for a server none of whose requests has had an event yet:
+	// in a group that has just opened, prompts wait for those of other entries. It is
+	// half of the time after which callers leave.
+	firstSilentAfter = time.Second
 	// groupHeardWithin is how recently another server of the group must have been
 	// heard of: two of the longest passes. If none was, the group stands still and
 	// its streams are as well off where they are.
@@ -19,10 +23,18 @@
 // Heard notes that a server has sent an event of a stream.
 func (d *Desk) Heard(id string, now time.Time) {
 	if server := d.byID[id]; server != nil {
-		server.heardAt = now
+		server.heardAt, server.silent = now, false
 	}
 }
 
+// silenceLimit is how long the server may send nothing.
+func (s *server) silenceLimit() time.Duration {
+	if s.heardAt.After(s.takenAt) {
+		return silentAfter
+	}
+	return firstSilentAfter
+}
+
 // FindSilent returns the servers that have requests of this entry and send
 // nothing while others of their group do, and passes them over for a while.
 // All servers of a group advance together, so the machine of such a server
@@ -30,7 +42,8 @@
 // elsewhere should.
 //
 // A silence that began while the whole group stood still is counted from the
-// moment at which the group went on.
+// moment at which the group went on. A silent server that is tried again gets one
+// request until it is heard of.
 func (d *Desk) FindSilent(now time.Time) []string {
 	if d.pace.engine == nil {
 		return nil // Calls of plain services end when they end.
@@ -44,8 +57,9 @@
 		if server.own == 0 || server.health.excluded(now) {
 			continue
 		}
-		if now.Sub(latest(server.heardAt, server.takenAt, d.groupSince)) >= silentAfter {
+		if now.Sub(latest(server.heardAt, server.takenAt, d.groupSince)) >= server.silenceLimit() {
 			server.health.unreached(now)
+			server.silent = true
 			silent = append(silent, server.candidate.ID)
 		}
 	}
