A backend server that still reports its load is not silent

Prompts were read twice in vain.

Change: a server is silent only where its reports are missing too; they come from the machine beside it every 100 ms. The new test failed before.

--- a/policy/dispatch/silence.go
+++ b/policy/dispatch/silence.go
@@ -36,10 +36,10 @@
 }
 
 // FindSilent returns the servers that have requests of this entry and send
-// nothing while others of their group do, and passes them over for a while.
-// All servers of a group advance together, so the machine of such a server
-// stands still, or the way to it is cut in one direction. Streams that may go on
-// elsewhere should.
+// neither events nor reports while others of their group do, and passes them over
+// for a while. All servers of a group advance together, so the machine of such a
+// server stands still, or the way from it is cut. Streams that may go on elsewhere
+// should. One that reports has prompts that wait to be read.
 //
 // A silence that began while the whole group stood still is counted from the
 // moment at which the group went on. A silent server that is tried again gets one
@@ -54,7 +54,7 @@
 	}
 	var silent []string
 	for _, server := range d.servers {
-		if server.own == 0 || server.health.excluded(now) {
+		if server.own == 0 || server.health.excluded(now) || now.Sub(server.reportAt) < silentAfter {
 			continue
 		}
 		if now.Sub(latest(server.heardAt, server.takenAt, d.groupSince)) >= server.silenceLimit() {
--- a/policy/dispatch/silence_test.go
+++ b/policy/dispatch/silence_test.go
@@ -71,6 +71,13 @@
 				})
 			})
 		})
+		Convey("a server that reports is not silent, however long its prompts wait to be read", func() {
+			for range 20 {
+				d.Report("s1", Report{Queued: 1, Open: true}, now)
+				silent, now = write(d, now, 2*pass, "s0", "s2")
+				So(silent, ShouldBeEmpty)
+			}
+		})
 		Convey("no server is found where the whole group stands still", func() {
 			silent, _ = write(d, now, 3*time.Second)
 			So(silent, ShouldBeEmpty)
