--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -37,9 +37,6 @@
 	// most. A successor's holds are beyond all passes that it finds within it, so
 	// that a predecessor's release which takes effect late never meets them.
 	maxPassLead = 4
-	// restAllowance is the rest before a pass that users don't notice: the longest
-	// pause that they allow is 120 ms, and passes of a busy group last up to 90 ms.
-	restAllowance = 25 * time.Millisecond
 	// armTimePerRank is what holding, arming and releasing take for each rank where
 	// no change has shown it yet: calls and reports of a small machine.
 	armTimePerRank = time.Millisecond
--- a/policy/mapswitch/tempo.go
+++ b/policy/mapswitch/tempo.go
@@ -40,14 +40,16 @@
 	return time.Duration(tempoMemory*float64(known) + (1-tempoMemory)*float64(sample))
 }
 
-// lead returns how many passes ahead a hold is put in a group of so many ranks.
+// lead returns how many passes ahead a hold is put in a group of so many ranks, so
+// that they are armed before the held pass is due. No rest is planned for: it comes
+// on top of a pass, and every stream of the group sees it.
 func (t *tempo) lead(ranks int) int64 {
 	armTime := t.armTime
 	if armTime == 0 {
 		armTime = time.Duration(ranks) * armTimePerRank
 	}
 	lead := int64(passLead)
-	for rest := armTime - restAllowance; rest > 0 && t.passTime > 0 && lead < maxPassLead-1; rest -= t.passTime {
+	for rest := armTime; rest > 0 && t.passTime > 0 && lead < maxPassLead-1; rest -= t.passTime {
 		lead++
 	}
 	return lead
