--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -102,6 +102,28 @@
 	})
 }
 
+func TestJumpOfDemandInALargeGroup(t *testing.T) {
+	Convey("A large group keeps more of the longest pause free for a jump of demand", t, func() {
+		passAtLimit := func(servers int) time.Duration {
+			d := NewDesk(Ramp{Entries: 1})
+			d.Configure(candidates(servers, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+			base := d.pace.base()
+			requests := servers * 5
+			slope := 4 * d.pace.evenSlope(servers) // The pace binds, not the places.
+			now := start
+			for range 100 {
+				now = now.Add(10 * time.Millisecond)
+				d.writersFor(requests, now)
+				d.Gap("s0", time.Duration((base+slope*float64(requests))*float64(time.Second)), now)
+			}
+			pass := base + slope*float64(d.pace.limit(servers))
+			return time.Duration(pass * float64(time.Second))
+		}
+		So(passAtLimit(12), ShouldAlmostEqual, 102*time.Millisecond, 2*time.Millisecond)
+		So(passAtLimit(63), ShouldAlmostEqual, 96*time.Millisecond, 2*time.Millisecond)
+	})
+}
+
 func TestEvenLoad(t *testing.T) {
 	Convey("Requests spread evenly, other entries' included", t, func() {
 		d := NewDesk(Ramp{Entries: 1})
--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -11,6 +11,11 @@
 	// paceGoalShare of the longest allowed pause is aimed at, so that the usual
 	// variation of passes stays within it.
 	paceGoalShare = 0.85
+	// largePaceGoalShare is aimed at in groups of manyServers and more: over ten
+	// entries place on reports that are a pass old, and after a jump of demand one
+	// pass over the limit makes hundreds of streams late.
+	largePaceGoalShare = 0.80
+	manyServers        = 32 // The users' groups have 12 ranks, grown ones 63.
 	// paceMemory is the time constant of the observed slope. A shift of demand
 	// shows in a pass, so it is a few passes long.
 	paceMemory = 300 * time.Millisecond
@@ -78,7 +83,11 @@
 		slope = unknownSkew * even
 	}
 	slope = max(slope, even)
-	room := paceGoalShare*p.goal.Seconds() - p.base()
+	share := paceGoalShare
+	if servers >= manyServers {
+		share = largePaceGoalShare
+	}
+	room := share*p.goal.Seconds() - p.base()
 	limit := room / slope
 	limit = max(limit, minPerServer*float64(servers))
 	return int(min(limit, fillShare*float64(servers*p.engine.Slots)))
