Let a leaving process end between the two signals of its test

Cause: TestLeavingCutsOffNothing failed once ("signal terminated: os: process already finished"). It looks whether the process has exited and then sends the second SIGTERM; the first may end it in between. With a pause of 6 s there the old test fails every time with that message.

Change: the second signal may find the process gone; that it stopped clean is checked after it, as before.

--- a/server/e2e/leaving_test.go
+++ b/server/e2e/leaving_test.go
@@ -175,11 +175,7 @@
 	for _, row := range leaving {
 		row.process.signal(syscall.SIGTERM)
 		load.awaitMore(1)
-		select {
-		case <-row.process.exited:
-		default:
-			row.process.signal(syscall.SIGTERM)
-		}
+		row.process.signalAgain(syscall.SIGTERM)
 		if err := row.process.wait(); err != nil {
 			t.Errorf("%s did not stop clean: %v\n%s", row.name, err, row.process.log.String())
 		}
--- a/server/e2e/processes_test.go
+++ b/server/e2e/processes_test.go
@@ -96,6 +96,15 @@
 	}
 }
 
+// signalAgain sends the signal to a process that leaves because of the first one; it
+// may end at any moment.
+func (p *process) signalAgain(signal syscall.Signal) {
+	p.t.Helper()
+	if err := p.command.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		p.t.Fatalf("signal %v: %v", signal, err)
+	}
+}
+
 // kill ends the process at once, also when it is stopped.
 func (p *process) kill() {
 	_ = p.command.Process.Kill()
