--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -127,6 +127,10 @@
 }
 
 func newSystem(backends ...*backend) *system {
+	return newSystemOf(configuration(), backends...)
+}
+
+func newSystemOf(config *topology.Configuration, backends ...*backend) *system {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	settings := platform.Settings{RetryRatio: 0.2, RetryReserve: 90, WarmUpOvershoot: 1.5, WarmUpAllowance: 5}
@@ -135,7 +139,7 @@
 	step := func(event reduce.Event) {
 		state, _ = topology.Step(state, reduce.Input{Now: time.Now(), Event: event})
 	}
-	step(topology.ConfigurationRead{Config: configuration()})
+	step(topology.ConfigurationRead{Config: config})
 	var list topology.ServersListed
 	for _, b := range backends {
 		list.Servers = append(list.Servers, topology.Server{ID: b.id, Service: "s", Address: b.listener.Addr().String(), Slots: 4})
@@ -428,3 +432,48 @@
 		So(ids(body), ShouldResemble, []string{"1", "2", "3"})
 	})
 }
+
+func TestStreamAtASilentServer(t *testing.T) {
+	Convey("A stream whose server falls silent while its group goes on goes on at another server", t, func() {
+		silent := newBackend("b1", func(_ int, w http.ResponseWriter, r *http.Request) {
+			events(w, 1, 3, true)
+			<-r.Context().Done()
+		})
+		sound := newBackend("b2", func(_ int, w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(header.LastEvent) == "3" {
+				events(w, 4, 6, true)
+				return
+			}
+			events(w, 1, 1, true)
+			for id := 2; id <= 40 && r.Context().Err() == nil; id++ {
+				time.Sleep(40 * time.Millisecond)
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: x%d\n\n", id, id)
+				w.(http.Flusher).Flush()
+			}
+		})
+		config := configuration()
+		config.Services["s"] = topology.Service{Name: "s", Engine: &topology.Engine{Slots: 4, Stride: 6, StepMS: 4.84, PerSequenceMS: 0.362}}
+		for i := range config.Routes {
+			config.Routes[i].PauseGoal = 120 * time.Millisecond
+		}
+		s := newSystemOf(config, silent, sound)
+		defer s.close(silent, sound)
+
+		bodies := make([]string, 2) // Of two streams, one at each server.
+		var group sync.WaitGroup
+		for i := range bodies {
+			group.Go(func() {
+				_, body, err := s.send("POST", "/stream/x", "", func(r *http.Request) { r.Header.Set(header.Deadline, "6000") })
+				if err != nil {
+					body = err.Error()
+				}
+				bodies[i] = body
+			})
+		}
+		group.Wait()
+		So(silent.count(), ShouldEqual, 1)
+		So(sound.count(), ShouldEqual, 2)
+		lengths := []int{len(ids(bodies[0])), len(ids(bodies[1]))}
+		So(lengths, ShouldContain, 6)
+	})
+}
