--- a/policy/dispatch/choice.go
+++ b/policy/dispatch/choice.go
@@ -22,7 +22,7 @@
 	return leastLoaded(usable, sampledServers, random, now)
 }
 
-// usable returns the servers with room of the best rank that has any.
+// usable returns the servers with room of the best tier that has any.
 func (d *Desk) usable(ticket Ticket, now time.Time) []*server {
 	var usable []*server
 	best := 0
@@ -30,11 +30,11 @@
 		if !d.hasRoom(candidate, now) || candidate.candidate.ID == ticket.Avoid && len(d.servers) > 1 {
 			continue
 		}
-		rank := candidate.rank(now)
-		if len(usable) == 0 || rank < best {
-			usable, best = usable[:0], rank
+		tier := candidate.tier(now)
+		if len(usable) == 0 || tier < best {
+			usable, best = usable[:0], tier
 		}
-		if rank == best {
+		if tier == best {
 			usable = append(usable, candidate)
 		}
 	}
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -133,15 +133,15 @@
 // load is the number of requests at the server, as far as known.
 func (s *server) load(now time.Time) int { return s.own + s.freshOthers(now) }
 
-// Ranks of servers, the best first.
+// Tiers of servers, the best first.
 const (
 	usualServer = iota
 	slowServer
 	unlistedServer
 )
 
-// rank says which servers are taken before which, whatever their load.
-func (s *server) rank(now time.Time) int {
+// tier says which servers are taken before which, whatever their load.
+func (s *server) tier(now time.Time) int {
 	switch {
 	case s.candidate.Unlisted:
 		return unlistedServer
--- a/policy/mapswitch/hold.go
+++ b/policy/mapswitch/hold.go
@@ -22,22 +22,33 @@
 	heardPerRank = 4 * time.Millisecond
 )
 
+// Hold is the hold of the change under way.
+type Hold struct {
+	Rank int // At which it is put.
+	Pass int64
+
+	firstAt    time.Time // When it was first ordered, at whatever rank.
+	giver      int       // The rank whose agent gives the order.
+	answeredAt time.Time // When its call returned; zero before.
+	lookedAt   time.Time // When the giver was looked at again; zero before.
+}
+
 // hold puts the hold. Ranks are armed only when it is in place and the machine
 // that gave the order still answers: one that stopped just then could not be armed.
 func (s State) hold(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
-	holder := s.Ranks[s.HoldRank]
+	holder := s.Ranks[s.Hold.Rank]
 	held := holder.State.HeldPass
 	switch {
-	case held == s.HoldPass && s.giverLives():
+	case held == s.Hold.Pass && s.giverLives():
 		s, moved := s.move(Arming, "hold is in place", now)
 		return s, moved, nil
-	case held == s.HoldPass && now.Sub(s.Since) > holdPatience:
+	case held == s.Hold.Pass && now.Sub(s.Since) > holdPatience:
 		// No rank has been armed for the pass, so the group may go on.
 		s, orders := s.releaseHolds(held, now)
 		s.silentAt = now
 		s, moved := s.move(Preparing, "the machine that gave the order to hold does not answer", now)
 		return s, moved, orders
-	case held == s.HoldPass:
+	case held == s.Hold.Pass:
 		s, look := s.lookAgain(now)
 		return s, nil, look
 	case held != 0:
@@ -45,17 +56,17 @@
 		// any that was to be armed for it.
 		s, orders := s.releaseHolds(held, now)
 		return s, nil, orders
-	case s.lastPass() >= s.HoldPass || s.holderAway():
+	case s.lastPass() >= s.Hold.Pass || s.holderAway():
 		if pass, ok := s.nextHold(); ok {
-			s.HoldPass = pass
+			s.Hold.Pass = pass
 		}
 		s = s.takeHolder()
 	}
-	s.harmless[s.HoldPass] = true
-	orders := s.order(now, topology.Order{Kind: topology.Hold, Pass: s.HoldPass}, s.only(s.HoldRank))
+	s.harmless[s.Hold.Pass] = true
+	orders := s.order(now, topology.Order{Kind: topology.Hold, Pass: s.Hold.Pass}, s.only(s.Hold.Rank))
 	for i := range orders {
 		give := orders[i].(Give)
-		give.Through = s.holdGiver
+		give.Through = s.Hold.giver
 		orders[i] = give
 	}
 	return s, nil, orders
@@ -64,36 +75,36 @@
 // takeHolder takes the next rank for the hold: the hold before was refused or came
 // too late, or an agent is away.
 func (s State) takeHolder() State {
-	s.HoldRank, s.holdGiver = s.nextHolder()
-	s.answeredAt, s.lookedAt = time.Time{}, time.Time{}
-	holder := s.Ranks[s.HoldRank]
+	s.Hold.Rank, s.Hold.giver = s.nextHolder()
+	s.Hold.answeredAt, s.Hold.lookedAt = time.Time{}, time.Time{}
+	holder := s.Ranks[s.Hold.Rank]
 	holder.OrderAt, holder.Pending = time.Time{}, false
-	s.Ranks[s.HoldRank] = holder
+	s.Ranks[s.Hold.Rank] = holder
 	return s
 }
 
 // lookAgain asks to look at the giver of the order to hold some time after its
 // answer: a machine that stops with the order may still have answered it.
 func (s State) lookAgain(now time.Time) (State, []reduce.Effect) {
-	if s.answeredAt.IsZero() || !s.lookedAt.IsZero() || now.Sub(s.answeredAt) < holdSettle {
+	if s.Hold.answeredAt.IsZero() || !s.Hold.lookedAt.IsZero() || now.Sub(s.Hold.answeredAt) < holdSettle {
 		return s, nil
 	}
-	s.lookedAt = now
-	return s, []reduce.Effect{Look{Rank: s.holdGiver}}
+	s.Hold.lookedAt = now
+	return s, []reduce.Effect{Look{Rank: s.Hold.giver}}
 }
 
 // giverLives reports whether the agent that gave the order to hold has answered a
 // call that was made some time after that.
 func (s State) giverLives() bool {
-	giver := s.Ranks[s.holdGiver]
-	return !s.answeredAt.IsZero() && !giver.Direct && giver.AskedAt.Sub(s.answeredAt) >= holdSettle
+	giver := s.Ranks[s.Hold.giver]
+	return !s.Hold.answeredAt.IsZero() && !giver.Direct && giver.AskedAt.Sub(s.Hold.answeredAt) >= holdSettle
 }
 
 // holderAway reports whether another rank, or another agent to give the order, is
 // to be taken.
 func (s State) holderAway() bool {
 	holder, giver := s.nextHolder()
-	return (s.Ranks[s.HoldRank].Direct || s.Ranks[s.holdGiver].Direct) && (holder != s.HoldRank || giver != s.holdGiver)
+	return (s.Ranks[s.Hold.Rank].Direct || s.Ranks[s.Hold.giver].Direct) && (holder != s.Hold.Rank || giver != s.Hold.giver)
 }
 
 // nextHold returns the pass to hold; not ok while the group has not got far
--- a/policy/mapswitch/hold_test.go
+++ b/policy/mapswitch/hold_test.go
@@ -27,7 +27,7 @@
 		So(c.state.Phase, ShouldEqual, Arming)
 
 		Convey("a hold that a predecessor has put at an earlier pass does not stop the group", func() {
-			So(c.state.HoldPass, ShouldBeGreaterThan, g.pass)
+			So(c.state.Hold.Pass, ShouldBeGreaterThan, g.pass)
 			g.apply(3, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: g.pass + 1})
 			before := g.pass
 			So(settleAll(g, c, &now, 20, nil), ShouldBeNil)
@@ -36,7 +36,7 @@
 		})
 
 		Convey("nor does one at a later pass", func() {
-			g.apply(3, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: c.state.HoldPass + 1})
+			g.apply(3, topology.Order{Kind: topology.Hold, Epoch: g.epoch, Pass: c.state.Hold.Pass + 1})
 			before := g.pass
 			So(settleAll(g, c, &now, 30, nil), ShouldBeNil)
 			So(g.pass, ShouldBeGreaterThan, before+5)
@@ -211,7 +211,7 @@
 		before := g.pass
 		So(settleAll(g, c, &now, 6, nil), ShouldBeNil)
 		So(g.ranks[0].version, ShouldBeGreaterThan, 0)
-		So(c.state.HoldPass-before, ShouldBeLessThanOrEqualTo, 4)
+		So(c.state.Hold.Pass-before, ShouldBeLessThanOrEqualTo, 4)
 
 		Convey("that of a successor holds none that its predecessor may have released", func() {
 			second := newCoordinate(2, 1)
@@ -219,7 +219,7 @@
 			read := g.pass
 			second.plan(now)
 			So(settleAll(g, second, &now, 20, nil), ShouldBeNil)
-			So(second.state.HoldPass, ShouldBeGreaterThan, read+1)
+			So(second.state.Hold.Pass, ShouldBeGreaterThan, read+1)
 		})
 	})
 }
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -86,23 +86,18 @@
 	Size  int // Ranks of the group in this epoch.
 	Ranks map[int]Rank
 
-	Phase    Phase
-	Since    time.Time // Of the phase.
-	Version  int64     // Being put in force, or in force.
-	Next     Map       // Content of Version while it is put in force.
-	Current  Map       // In use; nil while unknown.
-	InUse    int64     // The version of Current.
-	HoldRank int
-	HoldPass int64
-
-	heldAt     time.Time     // When the hold was first ordered.
-	holdGiver  int           // The rank whose agent gives the order to hold.
-	answeredAt time.Time     // When its call returned; zero before.
-	lookedAt   time.Time     // When the giver was looked at again; zero before.
-	silentAt   time.Time     // When a giver of a hold did not answer; zero for never.
-	hearing    time.Duration // Overrides the hearing limit; 0 for the usual one.
-	ownRank    int           // The rank beside the coordinator.
-	holdFloor  int64         // Passes below it are not held: a release may be on its way.
+	Phase   Phase
+	Since   time.Time // Of the phase.
+	Version int64     // Being put in force, or in force.
+	Next    Map       // Content of Version while it is put in force.
+	Current Map       // In use; nil while unknown.
+	InUse   int64     // The version of Current.
+	Hold    Hold
+
+	silentAt  time.Time     // When a giver of a hold did not answer; zero for never.
+	hearing   time.Duration // Overrides the hearing limit; 0 for the usual one.
+	ownRank   int           // The rank beside the coordinator.
+	holdFloor int64         // Passes below it are not held: a release may be on its way.
 
 	succeeded bool // A rank has shown a version of a later lease; nothing is done any more.
 
@@ -218,8 +213,8 @@
 			rank.Pending = false
 			s.Ranks[event.Rank] = rank
 		}
-		if event.Kind == topology.Hold && event.Answered && event.Rank == s.HoldRank && s.answeredAt.IsZero() {
-			s.answeredAt = input.Now
+		if event.Kind == topology.Hold && event.Answered && event.Rank == s.Hold.Rank && s.Hold.answeredAt.IsZero() {
+			s.Hold.answeredAt = input.Now
 		}
 	case Planned:
 		if s.Phase == Idle && event.Epoch == s.Epoch {
@@ -345,7 +340,7 @@
 
 // move enters a phase; orders of the phase before don't delay its own.
 func (s State) move(to Phase, reason string, now time.Time) (State, []reduce.Effect) {
-	effect := Moved{From: s.Phase, To: to, Epoch: s.Epoch, Version: s.Version, Pass: s.HoldPass, Reason: reason}
+	effect := Moved{From: s.Phase, To: to, Epoch: s.Epoch, Version: s.Version, Pass: s.Hold.Pass, Reason: reason}
 	if !s.Since.IsZero() {
 		effect.After = now.Sub(s.Since)
 	}
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -13,7 +13,7 @@
 func (s State) survey(now time.Time) (State, []reduce.Effect) {
 	armed, isArmed := s.armed()
 	if isArmed && !s.void(armed.State.Armed) {
-		s.Version, s.HoldPass = armed.State.Armed, armed.State.ArmedPass
+		s.Version, s.Hold.Pass = armed.State.Armed, armed.State.ArmedPass
 		s.Next = nil
 		return s.move(Arming, "a predecessor has armed a rank", now)
 	}
@@ -26,7 +26,7 @@
 		if !ok {
 			return s, nil
 		}
-		s.HoldPass = held
+		s.Hold.Pass = held
 		s.Version, s.Next = s.nextVersion(), current
 		return s.move(Fencing, "a predecessor has left its orders", now)
 	}
@@ -78,7 +78,7 @@
 		if !ok || !s.allHeard(now) {
 			return s, nil, nil
 		}
-		s.HoldPass, s.heldAt = pass, now
+		s.Hold.Pass, s.Hold.firstAt = pass, now
 		s = s.takeHolder()
 		s, moved := s.move(Holding, "all ranks prepared", now)
 		return s, moved, nil
@@ -91,7 +91,7 @@
 
 func (s State) arm(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
 	armed := func(r Rank) bool {
-		return r.State.MapVersion == s.Version || r.State.Armed == s.Version && r.State.ArmedPass == s.HoldPass
+		return r.State.MapVersion == s.Version || r.State.Armed == s.Version && r.State.ArmedPass == s.Hold.Pass
 	}
 	if s.all(armed) {
 		s, moved := s.move(Releasing, "all ranks armed", now)
@@ -101,15 +101,15 @@
 		s, moved := s.move(Survey, "a rank can no longer be armed", now)
 		return s, moved, nil
 	}
-	return s, nil, s.order(now, topology.Order{Kind: topology.Arm, Version: s.Version, Pass: s.HoldPass},
+	return s, nil, s.order(now, topology.Order{Kind: topology.Arm, Version: s.Version, Pass: s.Hold.Pass},
 		func(r Rank) bool { return !armed(r) })
 }
 
 func (s State) release(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
-	s, orders := s.releaseHolds(s.HoldPass, now)
-	if s.all(func(r Rank) bool { return r.State.HeldPass == 0 || r.State.HeldPass > s.HoldPass }) {
+	s, orders := s.releaseHolds(s.Hold.Pass, now)
+	if s.all(func(r Rank) bool { return r.State.HeldPass == 0 || r.State.HeldPass > s.Hold.Pass }) {
 		if s.Next != nil {
-			s.tempo.armed(now.Sub(s.heldAt))
+			s.tempo.armed(now.Sub(s.Hold.firstAt))
 		}
 		s, moved := s.move(Settling, "released", now)
 		return s, moved, nil
--- a/server/e2e/processes_test.go
+++ b/server/e2e/processes_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +24,7 @@
 	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/settings"
+	"persimmonwind.dev/server/standin/program"
 )
 
 const (
@@ -38,23 +38,7 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "persimmonwind-e2e")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "persimmonwind")
-	build := exec.Command("go", "build", "-o", binary, "persimmonwind.dev/server/cmd/persimmonwind")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
-		return 1
-	}
-	return m.Run()
+	os.Exit(program.Run(m, &binary))
 }
 
 // operators may use the administration API of every entry.
--- a/server/soak/soak_test.go
+++ b/server/soak/soak_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -18,6 +17,7 @@
 
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/platform/platformtest"
+	"persimmonwind.dev/server/standin/program"
 )
 
 var (
@@ -36,23 +36,7 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "persimmonwind-soak")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "persimmonwind")
-	build := exec.Command("go", "build", "-o", binary, "persimmonwind.dev/server/cmd/persimmonwind")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
-		return 1
-	}
-	return m.Run()
+	os.Exit(program.Run(m, &binary))
 }
 
 func TestSoak(t *testing.T) {
