Simplify what a second reading found; behaviour stays

- rpc.Serve logs a failed accept itself; its two callers had the same closure.
- The giver of a hold is set where orders are made, not patched into them after.
- A survey puts the ranks' lists together in one place.
- A round of reads looks at the control state once.
- Passes of the pace are turned into time in one function; the end of a stream is logged in one block; the check for a group that is heard of is a library's.

Looked at and left: the stand-in groups of platformtest, mapswitch and the benchmark of mapcontrol (formats of the wire, pure state and processor profile; nothing but the passes is alike); platform_test and platformtest, which can't import each other; topology.Server.WarmUpLeft, decided on by nothing, whose decoding a test asserts; State.hearing, which only tests set.

--- a/policy/dispatch/pace.go
+++ b/policy/dispatch/pace.go
@@ -103,11 +103,16 @@
 	return max(p.pass, time.Duration(p.base()*float64(time.Second)))
 }
 
+// passes returns the duration of so many passes at present.
+func (p *Pace) passes(count float64) time.Duration {
+	return time.Duration(count * float64(p.passTime()))
+}
+
 // firstEvent predicts the time from placing a request to its first event, zero
 // where there is no engine.
 func (p *Pace) firstEvent() time.Duration {
 	if p.engine == nil {
 		return 0
 	}
-	return time.Duration(firstEventPasses * float64(p.passTime()))
+	return p.passes(firstEventPasses)
 }
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -125,13 +125,12 @@
 	return now.Add(d.margin()).Before(ticket.InTime)
 }
 
-// margin is how long a placed request needs until its first answer
-// at least.
+// margin is how long a placed request needs until its first answer at least.
 func (d *Desk) margin() time.Duration {
 	if d.pace.engine == nil {
 		return serveMargin
 	}
-	return time.Duration(servePasses * float64(d.pace.passTime()))
+	return d.pace.passes(servePasses)
 }
 
 // hopeless reports whether the ticket has waited for as long as it pays.
--- a/policy/dispatch/silence.go
+++ b/policy/dispatch/silence.go
@@ -69,10 +69,7 @@
 // followGroup keeps the moment since which servers of the group have been heard
 // of without a long break; the zero time while none is.
 func (d *Desk) followGroup(now time.Time) {
-	heard := false
-	for _, server := range d.servers {
-		heard = heard || !server.heardAt.IsZero() && now.Sub(server.heardAt) < groupHeardWithin
-	}
+	heard := slices.ContainsFunc(d.servers, func(s *server) bool { return now.Sub(s.heardAt) < groupHeardWithin })
 	switch {
 	case !heard:
 		d.groupSince = time.Time{}
--- a/policy/mapswitch/hold.go
+++ b/policy/mapswitch/hold.go
@@ -63,13 +63,7 @@
 		s = s.takeHolder()
 	}
 	s.harmless[s.Hold.Pass] = true
-	orders := s.order(now, topology.Order{Kind: topology.Hold, Pass: s.Hold.Pass}, s.only(s.Hold.Rank))
-	for i := range orders {
-		give := orders[i].(Give)
-		give.Through = s.Hold.giver
-		orders[i] = give
-	}
-	return s, nil, orders
+	return s, nil, s.order(now, topology.Order{Kind: topology.Hold, Pass: s.Hold.Pass}, s.only(s.Hold.Rank))
 }
 
 // takeHolder takes the next rank for the hold: the hold before was refused or came
--- a/policy/mapswitch/orders.go
+++ b/policy/mapswitch/orders.go
@@ -25,7 +25,10 @@
 		rank.OrderAt, rank.Pending = now, true
 		s.Ranks[id] = rank
 		give := Give{Rank: id, Order: order, Through: id}
-		if order.Kind == topology.Prepare && s.Current != nil {
+		switch {
+		case order.Kind == topology.Hold:
+			give.Through = s.Hold.giver
+		case order.Kind == topology.Prepare && s.Current != nil:
 			give.From, give.FromVersion = s.Current, s.InUse
 		}
 		effects = append(effects, give)
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -17,23 +17,19 @@
 		s.Next = nil
 		return s.move(Arming, "a predecessor has armed a rank", now)
 	}
+	current, ok := s.lists()
+	if !ok {
+		return s, nil
+	}
 	held := int64(0)
 	for _, rank := range s.Ranks {
 		held = max(held, rank.State.HeldPass)
 	}
 	if isArmed || held != 0 {
-		current, ok := s.lists()
-		if !ok {
-			return s, nil
-		}
 		s.Hold.Pass = held
 		s.Version, s.Next = s.nextVersion(), current
 		return s.move(Fencing, "a predecessor has left its orders", now)
 	}
-	current, ok := s.lists()
-	if !ok {
-		return s, nil
-	}
 	s.Current, s.InUse = current, s.Ranks[0].Lists.MapVersion
 	if !s.untouched() {
 		s.holdFloor = max(s.holdFloor, s.lastPass()+maxPassLead+1)
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -135,12 +135,12 @@
 		fields["first_ms"] = c.firstAt.Sub(c.arrived).Milliseconds()
 		c.gateway.metrics.firstAnswer.Observe(c.firstAt.Sub(c.arrived).Seconds())
 	}
-	if c.events > 0 && !c.expectedAt.IsZero() {
-		fields["predicted_first_ms"] = c.expectedAt.Sub(c.arrived).Milliseconds()
-		c.gateway.metrics.predictionError.Observe(c.firstAt.Sub(c.expectedAt).Abs().Seconds())
-	}
 	if c.events > 0 {
 		fields["events"], fields["longest_gap_ms"] = c.events, c.longestGap.Milliseconds()
+		if !c.expectedAt.IsZero() {
+			fields["predicted_first_ms"] = c.expectedAt.Sub(c.arrived).Milliseconds()
+			c.gateway.metrics.predictionError.Observe(c.firstAt.Sub(c.expectedAt).Abs().Seconds())
+		}
 	}
 	c.gateway.metrics.Ended(code, time.Since(c.arrived))
 	logevent.Write(c.log, logevent.RequestEnded, fields)
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -77,9 +77,7 @@
 
 // Serve answers coordinators' calls until the listener is closed.
 func (a *Agent) Serve(listener net.Listener) error {
-	return rpc.Serve(listener, map[string]any{receiverName: a.rank}, func(err error) {
-		logevent.Write(a.Log, logevent.AcceptFailed, logrus.Fields{"error": err.Error()})
-	})
+	return rpc.Serve(listener, map[string]any{receiverName: a.rank}, a.Log)
 }
 
 // Prepare makes the agent ready to serve and run.
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -95,6 +95,17 @@
 	return float64(v.Requests) / float64(max(1, v.Size*engine.Slots))
 }
 
+// arming reports whether the group may soon rest until its ranks are armed. Counts
+// would then fill the link on which the orders go out.
+func (v view) arming() bool {
+	switch v.Phase {
+	case mapswitch.Holding, mapswitch.Arming, mapswitch.Releasing:
+		return true
+	default:
+		return false
+	}
+}
+
 // run coordinates until ctx ends or a newer coordinator has called an agent.
 func (c *coordinator) run(ctx context.Context, ownRank int) {
 	ctx, c.fenced = context.WithCancel(ctx)
@@ -114,21 +125,21 @@
 	var countsAt time.Time
 	round := 0 // Index of the first rank whose counts are read.
 	for ctx.Err() == nil {
-		interval, lists, size := readInterval, true, 0
-		if view := c.loop.View(); view != nil {
-			lists, size = view.Lists, view.Size
-			if view.Phase != mapswitch.Idle && view.Phase != mapswitch.Survey {
-				interval = min(interval, time.Duration(view.Size)*changeReadInterval)
-			}
+		interval, now := readInterval, view{Lists: true}
+		if known := c.loop.View(); known != nil {
+			now = *known
 		}
-		counts := time.Since(countsAt) >= readInterval-interval/2 && !c.armingNow()
+		if now.Phase != mapswitch.Idle && now.Phase != mapswitch.Survey {
+			interval = min(interval, time.Duration(now.Size)*changeReadInterval)
+		}
+		counts := time.Since(countsAt) >= readInterval-interval/2 && !now.arming()
 		if counts {
 			countsAt = time.Now()
 		}
-		members := c.membersToRead(size)
+		members := c.membersToRead(now.Size)
 		for i, member := range members {
 			counted := counts && (i+len(members)-round)%len(members) < countedRanks
-			go c.read(ctx, member, lists, counted)
+			go c.read(ctx, member, now.Lists, counted)
 		}
 		if counts && len(members) > 0 {
 			round = (round + countedRanks) % len(members)
@@ -137,21 +148,6 @@
 	}
 }
 
-// armingNow reports whether the group may soon rest until its ranks are armed. Counts
-// would then fill the link on which the orders go out.
-func (c *coordinator) armingNow() bool {
-	view := c.loop.View()
-	if view == nil {
-		return false
-	}
-	switch view.Phase {
-	case mapswitch.Holding, mapswitch.Arming, mapswitch.Releasing:
-		return true
-	default:
-		return false
-	}
-}
-
 // membersToRead returns the ranks of the epoch, also those that are listed no more, and
 // some of the listed members whose group is not known.
 func (c *coordinator) membersToRead(size int) []Member {
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -162,7 +162,7 @@
 	n.lifetime = ctx
 	defer n.Pool.Close()
 	served := make(chan error, 1)
-	go func() { served <- rpc.Serve(n.Secured(n.options.Control), n.receivers, n.acceptFailed) }()
+	go func() { served <- rpc.Serve(n.Secured(n.options.Control), n.receivers, n.Log()) }()
 	go n.watchInstances(ctx)
 	go n.announceReady(ctx)
 	go n.announceStart(ctx)
@@ -173,10 +173,6 @@
 	return errors.Join(err, <-served)
 }
 
-func (n *Node) acceptFailed(err error) {
-	logevent.Write(n.Log(), logevent.AcceptFailed, logrus.Fields{"error": err.Error()})
-}
-
 func (n *Node) execute(effect reduce.Effect) {
 	for _, execute := range n.executors {
 		if execute(n.lifetime, effect) {
