Start tested processes in groups of their own

Cause: TestFrozenProcessesStartNoWork failed in a run of the script ("signal continued: os: process already finished"). The script ran in the background of a shell that ended while the test had processes stopped; the kernel sends SIGHUP to a process group that is left behind with stopped members, and they ended. Shown: the test alone, its shell ended with two processes stopped, failed with that message; with the change it passes in the same setting.

Change: e2e and soak start processes by one function, each in its own group; an interrupt of the tests ends them. No check is changed.

--- a/server/e2e/processes_test.go
+++ b/server/e2e/processes_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	p := &process{t: t, command: exec.Command(binary, arguments...), exited: make(chan struct{})}
 	p.command.Stderr = &p.log
-	if err := p.command.Start(); err != nil {
+	if err := program.Start(p.command); err != nil {
 		t.Fatalf("start %v: %v", arguments, err)
 	}
 	go func() {
--- a/server/soak/world_test.go
+++ b/server/soak/world_test.go
@@ -14,6 +14,7 @@
 
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/platform/platformtest"
+	"persimmonwind.dev/server/standin/program"
 )
 
 const (
@@ -180,7 +181,7 @@
 	m.command = exec.Command(binary, "platform", m.role)
 	m.command.Env = append(os.Environ(), m.variable)
 	m.command.Stdout, m.command.Stderr = m.log, m.log
-	if err := m.command.Start(); err != nil {
+	if err := program.Start(m.command); err != nil {
 		t.Errorf("start %s: %v", m.name, err)
 		return
 	}
