Keep a group's fence and silence apart from other groups' calls

Cause: a rank kept one highest fencing number and one time of the last call for callers of every group.

Change: an agent records fence and time for the group of its own rank only. A coordinator of another group gets the rank's state and nothing else; its orders are refused. A rank that joins another group starts anew.

--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -111,6 +111,8 @@
 		if err != nil || !state.Open || state.Group == "" {
 			continue
 		}
+		a.rank.observeGroup(state)
+		sinceLastCall, maxSeenFence = a.rank.sinceLastCall()
 		if sinceLastCall < coordinatorTimeout+time.Duration(state.Rank)*rankStagger {
 			continue
 		}
--- a/server/mapcontrol/mapcontrol_test.go
+++ b/server/mapcontrol/mapcontrol_test.go
@@ -139,11 +139,11 @@
 		engine := &countingEngine{}
 		rank := NewRank(engine, nil)
 		var readReply ReadReply
-		So(rank.Read(ReadArgs{Caller: Caller{Fence: 2}}, &readReply), ShouldBeNil)
+		So(rank.Read(ReadArgs{Caller: Caller{Fence: 2, Group: "g"}}, &readReply), ShouldBeNil)
 		var reply GiveReply
-		So(rank.Give(GiveArgs{Caller: Caller{Fence: 1}}, &reply), ShouldNotBeNil)
+		So(rank.Give(GiveArgs{Caller: Caller{Fence: 1, Group: "g"}}, &reply), ShouldNotBeNil)
 		So(engine.orders, ShouldEqual, 0)
-		So(rank.Give(GiveArgs{Caller: Caller{Fence: 2}}, &reply), ShouldBeNil)
+		So(rank.Give(GiveArgs{Caller: Caller{Fence: 2, Group: "g"}}, &reply), ShouldBeNil)
 		So(engine.orders, ShouldEqual, 1)
 		So(reply.Problem, ShouldNotBeEmpty) // The outcome is unknown; the reply still has the report.
 		So(reply.State.Group, ShouldEqual, "g")
@@ -151,9 +151,9 @@
 	Convey("Counts are returned as the gains since they were last read", t, func() {
 		rank := NewRank(&countingEngine{}, nil)
 		var first, second ReadReply
-		So(rank.Read(ReadArgs{Counts: true}, &first), ShouldBeNil)
+		So(rank.Read(ReadArgs{Caller: Caller{Group: "g"}, Counts: true}, &first), ShouldBeNil)
 		So(first.Gains, ShouldBeNil)
-		So(rank.Read(ReadArgs{Counts: true}, &second), ShouldBeNil)
+		So(rank.Read(ReadArgs{Caller: Caller{Group: "g"}, Counts: true}, &second), ShouldBeNil)
 		So(second.Gains, ShouldNotBeEmpty)
 	})
 	Convey("A prepare order may carry changes only to a map that the agent has", t, func() {
@@ -161,13 +161,13 @@
 		rank := NewRank(engine, nil)
 		baseMap := mapswitch.Map{{{0, 1}, {2}}}
 		var reply GiveReply
-		So(rank.Give(GiveArgs{Order: topology.Order{Kind: topology.Prepare, Version: 1, Map: baseMap}}, &reply), ShouldBeNil)
+		So(rank.Give(GiveArgs{Caller: Caller{Group: "g"}, Order: topology.Order{Kind: topology.Prepare, Version: 1, Map: baseMap}}, &reply), ShouldBeNil)
 		changes := []mapswitch.Change{{Set: 0, Rank: 1, Experts: []int{2, 0}}}
-		next := GiveArgs{Order: topology.Order{Kind: topology.Prepare, Version: 2}, Base: 1, Changes: changes}
+		next := GiveArgs{Caller: Caller{Group: "g"}, Order: topology.Order{Kind: topology.Prepare, Version: 2}, Base: 1, Changes: changes}
 		So(rank.Give(next, &reply), ShouldBeNil)
 		So(reply.UnknownBase, ShouldBeFalse)
 		So(engine.last.Map, ShouldResemble, mapswitch.Map{{{0, 1}, {2, 0}}})
-		initial := GiveArgs{Order: topology.Order{Kind: topology.Prepare, Version: 3}, InTurn: mapswitch.Shape{Sets: 1, Experts: 3, Ranks: 2}, Changes: changes}
+		initial := GiveArgs{Caller: Caller{Group: "g"}, Order: topology.Order{Kind: topology.Prepare, Version: 3}, InTurn: mapswitch.Shape{Sets: 1, Experts: 3, Ranks: 2}, Changes: changes}
 		So(NewRank(engine, nil).Give(initial, &reply), ShouldBeNil)
 		So(engine.last.Map, ShouldResemble, mapswitch.Map{{{0, 2}, {2, 0}}})
 		next.Base, next.Order.Version = 7, 4
@@ -177,10 +177,11 @@
 	})
 	Convey("A call of a superseded coordinator does not update the time of the last call", t, func() {
 		rank := NewRank(&countingEngine{}, nil)
-		rank.fence = 5
+		var newest ReadReply
+		So(rank.Read(ReadArgs{Caller: Caller{Fence: 5, Group: "g"}}, &newest), ShouldBeNil)
 		before := rank.lastCallAt
 		var readReply ReadReply
-		So(rank.Read(ReadArgs{Caller: Caller{Fence: 4}}, &readReply), ShouldNotBeNil)
+		So(rank.Read(ReadArgs{Caller: Caller{Fence: 4, Group: "g"}}, &readReply), ShouldNotBeNil)
 		So(rank.lastCallAt, ShouldEqual, before)
 	})
 }
--- a/server/mapcontrol/rank.go
+++ b/server/mapcontrol/rank.go
@@ -94,14 +94,18 @@
 // error by its text.
 var errFenced = errors.New("a coordinator with a higher number has called")
 
+// errForeignGroup means that the caller coordinates another group than the rank's.
+var errForeignGroup = errors.New("the rank belongs to another group")
+
 // Rank is the RPC receiver for a coordinator's calls.
 type Rank struct {
 	engine       Engine
 	directEngine func(address string) Engine // Returns the client of another rank's engine.
 
 	mu           sync.Mutex
-	fence        uint64                  // The highest fencing number seen.
-	lastCallAt   time.Time               // When a coordinator last called.
+	group        string                  // The rank's group, as its engine last reported; empty while unknown.
+	fence        uint64                  // The highest fencing number of a coordinator of the group.
+	lastCallAt   time.Time               // When a coordinator of the group last called, or when the rank joined it.
 	counts       topology.RankCounts     // Counts of the latest read, from which the next gains are computed.
 	countsReadAt time.Time               // When counts was read.
 	maps         map[int64]mapswitch.Map // Maps by version, at most two: the latest prepared map and the base of its changes.
@@ -114,13 +118,16 @@
 }
 
 // Read returns the rank's state and, if args request them, the increase of its counts
-// and its expert lists.
+// and its expert lists. A coordinator of another group, which searches for its ranks,
+// gets only the state.
 func (r *Rank) Read(args ReadArgs, reply *ReadReply) error {
-	if err := r.checkFence(args.Caller); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	if err := r.checkCaller(ctx, args.Caller); errors.Is(err, errForeignGroup) {
+		return readEngine(ctx, r.engine, false, reply)
+	} else if err != nil {
+		return err
+	}
 	if args.Counts {
 		counts, err := r.engine.Counts(ctx)
 		if err != nil {
@@ -128,7 +135,11 @@
 		}
 		reply.Gains, reply.Elapsed = r.countGains(counts)
 	}
-	return readEngine(ctx, r.engine, args.Lists, reply)
+	if err := readEngine(ctx, r.engine, args.Lists, reply); err != nil {
+		return err
+	}
+	r.observeGroup(reply.State)
+	return nil
 }
 
 // countGains returns the increase of the counts since they were last read, and the
@@ -162,7 +173,9 @@
 
 // Give passes an order to the rank and returns the rank's state after it.
 func (r *Rank) Give(args GiveArgs, reply *GiveReply) error {
-	if err := r.checkFence(args.Caller); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := r.checkCaller(ctx, args.Caller); err != nil {
 		return err
 	}
 	order := args.Order
@@ -174,8 +187,6 @@
 		}
 		order.Map = next
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
 	if args.Server != "" {
 		// Another engine's report is stale when it is read from this machine.
 		return giveOrder(ctx, r.directEngine(args.Server), order, reply)
@@ -237,11 +248,23 @@
 	return nil
 }
 
-// checkFence refuses calls of a superseded coordinator. It records the time of all
-// other calls.
-func (r *Rank) checkFence(caller Caller) error {
+// checkCaller refuses the calls of a superseded coordinator with errFenced and those of
+// another group's coordinator with errForeignGroup. It records the time of all other
+// calls. Coordinators of different groups have independent fencing numbers.
+func (r *Rank) checkCaller(ctx context.Context, caller Caller) error {
+	if !r.isGroup(caller.Group) {
+		// The rank may have joined the caller's group since its engine was last read.
+		state, err := r.engine.Report(ctx)
+		if err != nil {
+			return fmt.Errorf("read report: %w", err)
+		}
+		r.observeGroup(state)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if caller.Group != r.group {
+		return fmt.Errorf("%w: %q, the caller's is %q", errForeignGroup, r.group, caller.Group)
+	}
 	if caller.Fence < r.fence {
 		return fmt.Errorf("%w: highest is %d, the caller's is %d", errFenced, r.fence, caller.Fence)
 	}
@@ -250,8 +273,28 @@
 	return nil
 }
 
-// sinceLastCall returns the time since the last call of a coordinator, and the highest
-// fencing number seen.
+func (r *Rank) isGroup(group string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.group == group
+}
+
+// observeGroup records the group that the engine reports. A rank that has joined
+// another group knows no coordinator there.
+func (r *Rank) observeGroup(state topology.RankState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state.Group == "" || state.Group == r.group {
+		return
+	}
+	if r.group != "" {
+		r.lastCallAt = time.Now()
+	}
+	r.group, r.fence = state.Group, 0
+}
+
+// sinceLastCall returns the time since the last call of a coordinator of the rank's
+// group, and the highest fencing number seen in the group.
 func (r *Rank) sinceLastCall() (time.Duration, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
