Relieve every one of the ranks that share the highest load

Cause: the planner ended its search when a copy saved less than 1 % of the slowest rank's time, computed as if that rank alone made up the cost. Where a dozen or more ranks share the highest load, no single copy does, so in a group of 129 ranks with three places the search stopped at a skew of 2.9 to 3.2, whatever the budget.

Ruled out: the budget of copies (the same plateau after eight changes with 4 copies a rank), places (a map made from scratch reaches 1.33 with the same places).

Change: a copy must save 1 % of the time of the rank that it relieves. Plans with fewer copies are not considered where copying takes little of a change's time, and a plan's skew is read from its search instead of two further ones.

--- a/policy/hotexperts/bench_test.go
+++ b/policy/hotexperts/bench_test.go
@@ -13,8 +13,9 @@
 		sets   int
 		budget int
 	}{
-		"12-ranks": {referenceShape, referenceSets, 2},
-		"63-ranks": {Shape{Ranks: 63, Places: 5, Experts: 252, NewPerSet: 2}, 8, 12},
+		"12-ranks":  {referenceShape, referenceSets, 2},
+		"63-ranks":  {Shape{Ranks: 63, Places: 5, Experts: 252, NewPerSet: 2}, 8, 12},
+		"129-ranks": {largeShape, 16, 4},
 	}
 	for name, size := range sizes {
 		b.Run(name, func(b *testing.B) {
--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -26,6 +26,11 @@
 	minRelativeGain = 0.01
 )
 
+// minCostGain is minRelativeGain as a share of the most loaded rank's contribution to
+// the cost. It does not depend on the cost of the other ranks: where many ranks of a
+// large group share the highest load, each of them has to be relieved.
+var minCostGain = 1 - math.Pow(1-minRelativeGain, loadExponent)
+
 // Shape is the size of a group and the speed of its ranks.
 type Shape struct {
 	Ranks     int
@@ -106,12 +111,16 @@
 	// recoveryWindow is the time after a jump in demand over which the average skews of
 	// plans are compared. The group makes two or three changes in it.
 	recoveryWindow = 600 * time.Millisecond
+	// shortCopiesShare is the share of switchTime below which the time of all copies
+	// makes no difference to when a plan is in force.
+	shortCopiesShare = 0.3
 )
 
 // DecideLeastAverageSkew returns the plan with the lowest average skew over the
 // recovery window. It compares a plan with up to budget copies per rank, one with
 // half as many, and so on down to one copy. A plan with fewer copies is in force
-// sooner, and another change can follow it.
+// sooner, and another change can follow it. If copies take little of a change's time,
+// smaller plans aren't considered.
 func DecideLeastAverageSkew(shape Shape, current Map, load [][]float64, budget int, copyTime time.Duration) Plan {
 	best, bestCost := Plan{}, math.Inf(1)
 	for copies := budget; copies >= 1; copies /= 2 {
@@ -121,6 +130,9 @@
 		if cost < bestCost {
 			best, bestCost = plan, cost
 		}
+		if float64(time.Duration(budget)*copyTime) < shortCopiesShare*float64(switchTime) {
+			break
+		}
 	}
 	return best
 }
@@ -129,11 +141,8 @@
 // set and expert. No rank copies more than budget experts. The slices of the current
 // map are not changed.
 func Decide(shape Shape, current Map, load [][]float64, budget int) Plan {
-	plan := Plan{SkewBefore: Skew(shape, current, load)}
-	sets := make([]*search, len(current))
-	for set := range current {
-		sets[set] = newSearch(shape, current[set], load[set])
-	}
+	sets := newSearches(shape, current, load)
+	plan := Plan{SkewBefore: skewOf(shape, sets)}
 	copies := make([]int, shape.Ranks)
 	for {
 		chosen := pickSet(sets, copies, budget)
@@ -150,7 +159,7 @@
 	for _, count := range copies {
 		plan.MaxCopiesPerRank = max(plan.MaxCopiesPerRank, count)
 	}
-	plan.SkewAfter = Skew(shape, plan.Map, load)
+	plan.SkewAfter = skewOf(shape, sets)
 	if plan.SkewAfter > plan.SkewBefore {
 		// The search's cost depends on all ranks, so lowering it can raise the maximum.
 		return Plan{Map: current, SkewBefore: plan.SkewBefore, SkewAfter: plan.SkewBefore}
@@ -174,9 +183,13 @@
 // Skew returns the time of the slowest rank, summed over expert sets, divided by the
 // time that an even load would take on ranks of normal speed.
 func Skew(shape Shape, placement Map, load [][]float64) float64 {
+	return skewOf(shape, newSearches(shape, placement, load))
+}
+
+// skewOf returns the skew of the searches' placements.
+func skewOf(shape Shape, sets []*search) float64 {
 	var slowestTime, evenTime float64
-	for set := range placement {
-		s := newSearch(shape, placement[set], load[set])
+	for _, s := range sets {
 		highest := 0.0
 		for rank, l := range s.rankLoads {
 			highest = max(highest, l*shape.slowness(rank))
@@ -199,7 +212,6 @@
 	newByRank     []int         // By rank: number of experts that the plan adds to it.
 	rankLoads     []float64     // Load of each rank.
 	meanLoad      float64       // Mean load of the ranks.
-	cost          float64       // Cost of the placement, which the search minimizes.
 	bestStep      placementStep // Best step from the current placement.
 	bestStepPays  bool          // The gain of bestStep is worth its copy.
 	bestStepValid bool          // bestStep was computed for the current placement.
@@ -213,6 +225,15 @@
 	gain                       float64
 }
 
+// newSearches returns a search for each expert set of the placement.
+func newSearches(shape Shape, placement Map, load [][]float64) []*search {
+	sets := make([]*search, len(placement))
+	for set := range placement {
+		sets[set] = newSearch(shape, placement[set], load[set])
+	}
+	return sets
+}
+
 func newSearch(shape Shape, placement [][]int, load []float64) *search {
 	s := &search{
 		shape: shape, load: load,
@@ -233,7 +254,6 @@
 	for _, l := range s.rankLoads {
 		s.meanLoad += l / float64(shape.Ranks)
 	}
-	s.cost = s.totalCost()
 	return s
 }
 
@@ -249,15 +269,6 @@
 	return power * power
 }
 
-// totalCost returns the cost of the placement, the sum over its ranks.
-func (s *search) totalCost() float64 {
-	total := 0.0
-	for rank, l := range s.rankLoads {
-		total += s.rankCost(rank, l)
-	}
-	return total
-}
-
 // refreshBestStep recomputes the best step if the placement has changed or the rank of
 // the step has used up its budget of copies.
 func (s *search) refreshBestStep(copies []int, budget int) {
@@ -270,7 +281,7 @@
 
 // best returns the step that lowers the cost most, among steps that copy an expert of
 // the slowest rank to another rank which may copy further experts. It reports false if
-// that step gains less than minRelativeGain.
+// that step gains less than minCostGain.
 func (s *search) best(copies []int, budget int) (placementStep, bool) {
 	var best placementStep
 	slowestRank := s.slowestRank()
@@ -285,16 +296,7 @@
 			s.considerCopy(&best, expert, rank, slowestRank)
 		}
 	}
-	return best, best.gain > 0 && s.relativeGain(best.gain) >= minRelativeGain
-}
-
-// relativeGain converts a gain in cost to the share of the slowest rank's time that
-// it would save if that rank alone made up the cost.
-func (s *search) relativeGain(gain float64) float64 {
-	if s.cost <= 0 {
-		return 0
-	}
-	return 1 - math.Pow(max(0, 1-gain/s.cost), 1.0/loadExponent)
+	return best, best.gain > 0 && best.gain >= minCostGain*s.rankCost(slowestRank, s.rankLoads[slowestRank])
 }
 
 // considerCopy considers the steps that copy the expert to the rank, into an empty
@@ -386,7 +388,6 @@
 	if chosen.from >= 0 {
 		s.removeReplica(chosen.expert, chosen.from)
 	}
-	s.cost = s.totalCost()
 }
 
 // removeReplica removes the rank's replica of the expert and spreads its load over
