--- a/policy/hotexperts/demand.go
+++ b/policy/hotexperts/demand.go
@@ -46,15 +46,15 @@
 	return table
 }
 
-// Observe adds the increases of one rank's counters during the elapsed time: for each
-// expert set and expert, how often its requests chose the expert. Gains of the wrong
-// length are ignored; it reports whether they were used. The ranks are observed one
-// after another, and ranks is their number.
-func (d *Demand) Observe(gains []int64, elapsed time.Duration, ranks int) bool {
+// Observe adds the increases of the counters of one or more ranks: for each expert set
+// and expert, how often their requests chose the expert. elapsed is the time since the
+// previous observation. Gains of the wrong length are ignored; it reports whether they
+// were used.
+func (d *Demand) Observe(gains []int64, elapsed time.Duration) bool {
 	if len(gains) != d.sets*d.experts {
 		return false
 	}
-	seconds := elapsed.Seconds() / float64(max(1, ranks))
+	seconds := elapsed.Seconds()
 	decay := math.Exp(-seconds / forecastTimeConstant.Seconds())
 	recentDecay := math.Exp(-seconds / recentTimeConstant.Seconds())
 	d.total *= decay
--- a/policy/hotexperts/hotexperts_test.go
+++ b/policy/hotexperts/hotexperts_test.go
@@ -215,35 +215,51 @@
 	const round = 100 * time.Millisecond
 	Convey("Given the increases of a rank's counters", t, func() {
 		d := NewDemand(1, 2)
-		So(d.Observe([]int64{0, 50}, round, 1), ShouldBeTrue)
+		So(d.Observe([]int64{0, 50}, round), ShouldBeTrue)
 		So(d.Load()[0], ShouldResemble, []float64{0, 50})
 
 		Convey("the load of an expert that is no longer chosen decays", func() {
 			for range 20 {
-				d.Observe([]int64{10, 0}, round, 1)
+				d.Observe([]int64{10, 0}, round)
 			}
 			So(d.Load()[0][1], ShouldBeLessThan, 2.0)
 			So(d.Load()[0][0], ShouldBeGreaterThan, 8.0)
 		})
 		Convey("the forecast follows a jump in demand within a few observations", func() {
 			for range 20 {
-				d.Observe([]int64{0, 50}, round, 1)
+				d.Observe([]int64{0, 50}, round)
 			}
 			for range 2 {
-				d.Observe([]int64{50, 0}, round, 1)
+				d.Observe([]int64{50, 0}, round)
 			}
 			load := d.Load()[0]
 			So(load[0]/(load[0]+load[1]), ShouldBeGreaterThan, 0.75)
 		})
 		Convey("gains of the wrong length are rejected", func() {
-			So(d.Observe([]int64{1}, round, 1), ShouldBeFalse)
+			So(d.Observe([]int64{1}, round), ShouldBeFalse)
 		})
 	})
+	Convey("Sums of packed counts take about one byte each and keep their proportions", t, func() {
+		counts := make([]int64, 1000)
+		for i := range counts {
+			counts[i] = int64(300 + 3*i)
+		}
+		packed, err := SumPacked([][]byte{PackCounts(nil, counts), PackCounts(nil, counts)})
+		So(err, ShouldBeNil)
+		So(len(packed), ShouldBeLessThan, 1200)
+		sums, err := UnpackCounts(packed)
+		So(err, ShouldBeNil)
+		for i, sum := range sums {
+			So(float64(sum), ShouldAlmostEqual, float64(2*counts[i]), 0.1*float64(2*counts[i]))
+		}
+		_, err = SumPacked([][]byte{PackCounts(nil, counts), PackCounts(nil, counts[1:])})
+		So(err, ShouldNotBeNil)
+	})
 	Convey("Packed counts contain the increases, and zero for counters that have decreased", t, func() {
 		gains, err := UnpackCounts(PackCounts([]int64{5, 1000, 7}, []int64{5, 1300, 2, 9}))
 		So(err, ShouldBeNil)
 		So(gains, ShouldResemble, []int64{0, 300, 0, 9})
-		_, err = UnpackCounts([]byte{0x80})
+		_, err = UnpackCounts([]byte{0, 0x80})
 		So(err, ShouldNotBeNil)
 	})
 }
--- a/policy/mapswitch/change.go
+++ b/policy/mapswitch/change.go
@@ -1,6 +1,11 @@
 package mapswitch
 
-import "slices"
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"slices"
+)
 
 // Change is the difference between two expert maps for one rank in one expert
 // set. Agents that know the map in force receive changes instead of the whole
@@ -31,7 +36,7 @@
 		to[set] = slices.Clone(from[set])
 	}
 	for _, change := range changes {
-		if change.Set >= len(to) || change.Rank >= len(to[change.Set]) {
+		if change.Set < 0 || change.Set >= len(to) || change.Rank < 0 || change.Rank >= len(to[change.Set]) {
 			return nil, false
 		}
 		to[change.Set][change.Rank] = change.Experts
@@ -39,6 +44,66 @@
 	return to, true
 }
 
+// errChangesMalformed means that bytes are not changes that PackChanges encoded.
+var errChangesMalformed = errors.New("malformed map changes")
+
+// PackChanges encodes changes as varints, most of which take one byte: in a large group,
+// the changes for all ranks make up most of what a coordinator sends. Changes must be
+// ordered by expert set and rank, as Changes returns them.
+func PackChanges(changes []Change) []byte {
+	var packed []byte
+	previous := Change{}
+	for _, change := range changes {
+		if change.Set != previous.Set {
+			previous.Rank = 0
+		}
+		packed = binary.AppendUvarint(packed, uint64(change.Set-previous.Set))
+		packed = binary.AppendUvarint(packed, uint64(change.Rank-previous.Rank))
+		packed = binary.AppendUvarint(packed, uint64(len(change.Experts)))
+		for _, expert := range change.Experts {
+			packed = binary.AppendUvarint(packed, uint64(expert))
+		}
+		previous = change
+	}
+	return packed
+}
+
+// UnpackChanges decodes changes that PackChanges encoded.
+func UnpackChanges(packed []byte) ([]Change, error) {
+	var changes []Change
+	malformed := false
+	next := func() int {
+		value, n := binary.Uvarint(packed)
+		if n <= 0 || value > math.MaxInt32 {
+			malformed, packed = true, nil
+			return 0
+		}
+		packed = packed[n:]
+		return int(value)
+	}
+	previous := Change{}
+	for len(packed) > 0 {
+		change := Change{Set: previous.Set + next()}
+		if change.Set == previous.Set {
+			change.Rank = previous.Rank
+		}
+		change.Rank += next()
+		count := next()
+		if count > len(packed) {
+			return nil, errChangesMalformed
+		}
+		change.Experts = make([]int, count)
+		for i := range change.Experts {
+			change.Experts[i] = next()
+		}
+		changes, previous = append(changes, change), change
+	}
+	if malformed {
+		return nil, errChangesMalformed
+	}
+	return changes, nil
+}
+
 // Shape is the size of a group's expert map: the number of expert sets, of
 // experts in each set and of ranks.
 type Shape struct{ Sets, Experts, Ranks int }
--- a/policy/mapswitch/change_test.go
+++ b/policy/mapswitch/change_test.go
@@ -14,13 +14,29 @@
 			return rapid.SliceOfN(rapid.SliceOfN(experts, 3, 3), 2, 2).Draw(t, name)
 		}
 		from, to := draw("from"), draw("to")
-		applied, ok := Apply(from, Changes(from, to))
+		changes, err := UnpackChanges(PackChanges(Changes(from, to)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		applied, ok := Apply(from, changes)
 		if !ok || !reflect.DeepEqual(applied, to) {
 			t.Fatalf("got %v, want %v", applied, to)
 		}
 	})
 }
 
+func TestUnpackChangesOfForeignBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		changes, err := UnpackChanges(rapid.SliceOf(rapid.Byte()).Draw(t, "bytes"))
+		if err == nil {
+			_, _ = Apply(Map{{{0}, {1}}}, changes) // Must not panic.
+		}
+	})
+	if _, ok := Apply(Map{{{0}}}, []Change{{Set: -1}}); ok {
+		t.Error("a change of a negative expert set was applied")
+	}
+}
+
 func TestRoundRobinShape(t *testing.T) {
 	shape := Shape{Sets: 2, Experts: 7, Ranks: 3}
 	if got, ok := RoundRobinShape(InTurn(shape)); !ok || got != shape {
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -173,6 +173,12 @@
 
 func (OrderReturned) EventName() string { return "mapswitch.given" }
 
+// Batch carries events that arrived together. Phases are entered and orders are sent
+// once, after all of them.
+type Batch struct{ Events []reduce.Event }
+
+func (Batch) EventName() string { return "mapswitch.batch" }
+
 // PlanReady carries the map that the planner wants to put in force.
 type PlanReady struct {
 	Epoch int64
@@ -223,34 +229,47 @@
 // Step applies one input to the state. It modifies the Go maps inside the state, so
 // the caller must not share them.
 func Step(s State, input reduce.Input) (State, []reduce.Effect) {
+	events := []reduce.Event{input.Event}
+	if batch, ok := input.Event.(Batch); ok {
+		events = batch.Events
+	}
+	var effects, more []reduce.Effect
+	for _, event := range events {
+		if s.superseded {
+			return s, effects
+		}
+		s, more = s.apply(event, input.Now)
+		effects = append(effects, more...)
+	}
 	if s.superseded {
-		return s, nil
+		return s, effects
 	}
-	var effects []reduce.Effect
-	switch event := input.Event.(type) {
+	s, more = s.advance(input.Now)
+	return s, append(effects, more...)
+}
+
+// apply records one event without acting on it.
+func (s State) apply(event reduce.Event, now time.Time) (State, []reduce.Effect) {
+	switch event := event.(type) {
 	case RankRead:
-		s, effects = s.applyReport(event, input.Now)
+		return s.applyReport(event, now)
 	case OrderReturned:
 		if rank, ok := s.Ranks[event.Rank]; ok {
 			rank.OrderPending = false
 			s.Ranks[event.Rank] = rank
 		}
 		if event.Kind == topology.Hold && event.Answered && event.Rank == s.Hold.Rank && s.Hold.orderRepliedAt.IsZero() {
-			s.Hold.orderRepliedAt = input.Now
+			s.Hold.orderRepliedAt = now
 		}
 	case PlanReady:
 		if s.Phase == Idle && event.Epoch == s.Epoch {
 			s.NextMap = event.Map
 			s.Version = s.nextVersion()
 			s.ordersLost = false
-			s, effects = s.enterPhase(Preparing, "planned", input.Now)
+			return s.enterPhase(Preparing, "planned", now)
 		}
 	}
-	if s.superseded {
-		return s, effects
-	}
-	s, more := s.advance(input.Now)
-	return s, append(effects, more...)
+	return s, nil
 }
 
 // applyReport stores a rank's report. A report of a new epoch discards what is
@@ -282,7 +301,7 @@
 		rank.Lists = event.Lists
 	}
 	s.Ranks[state.Rank] = rank
-	s.passTiming.observePass(s.lastPass(), now)
+	s.passTiming.observePass(state.Pass, now)
 	return s, effects
 }
 
--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -88,6 +88,30 @@
 	})
 }
 
+func TestBatch(t *testing.T) {
+	Convey("A batch of reports has the effects of its reports, with each order sent once", t, func() {
+		g, c := newModelGroup(4), newModelCoordinator(1, 0)
+		var reads []reduce.Event
+		for rank := range g.ranks {
+			read := g.report(rank)
+			read.RequestedAt = start
+			reads = append(reads, read)
+		}
+		c.handle(Batch{Events: reads}, start)
+		So(c.state.Phase, ShouldEqual, Idle)
+		c.pending = nil
+		c.plan(start)
+		orders := map[int]int{}
+		c.handle(Batch{Events: reads}, start.Add(time.Millisecond))
+		for _, effect := range c.pending {
+			if send, ok := effect.(SendOrder); ok {
+				orders[send.Rank]++
+			}
+		}
+		So(orders, ShouldResemble, map[int]int{0: 1, 1: 1, 2: 1, 3: 1})
+	})
+}
+
 func TestCoordinatorCrashesDuringChange(t *testing.T) {
 	// Each case lets the first coordinator crash after another number of rounds of the
 	// change.
--- a/server/deployed/agent.go
+++ b/server/deployed/agent.go
@@ -116,7 +116,7 @@
 	var members []mapcontrol.Member
 	for _, server := range snapshot.ListedServers(a.settings.Service) {
 		members = append(members, mapcontrol.Member{
-			Server: server.Address, Agent: agentAddress(server.Address, a.settings.PeerPortFirst),
+			Server: server.Address, Agent: agentAddress(server.Address, a.settings.PeerPortFirst), DataCentre: server.DataCentre,
 		})
 	}
 	return members
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -28,5 +28,6 @@
 	LeaseEnded             = define(411, "lease_left", logrus.InfoLevel, "The agent no longer coordinates its group's expert map.")
 	ExpertCountsUnreadable = define(413, "counts_unreadable", logrus.WarnLevel, "A rank's expert counts can't be decoded; the counts of other ranks show the same demand.")
 	LeaseFailed            = define(412, "lease_failed", logrus.WarnLevel, "The lease of a group could not be acquired; the agent retries.")
+	RelayFailed            = define(415, "relay_failed", logrus.WarnLevel, "An agent did not relay a call of the coordinator; another agent of its batch does so for a while.")
 	LeaseSuperseded        = define(414, "lease_succeeded", logrus.InfoLevel, "A rank reports a map version of a later coordinator; this coordinator stops.")
 )
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -75,19 +75,21 @@
 	Metrics        *Metrics
 
 	rank  *Rank
+	relay *Relay
 	peers *rpc.Pool
 }
 
 // Serve answers calls from coordinators until the listener is closed.
 func (a *Agent) Serve(listener net.Listener) error {
-	return rpc.Serve(listener, map[string]any{receiverName: a.rank}, a.Log)
+	return rpc.Serve(listener, map[string]any{receiverName: a.rank, relayName: a.relay}, a.Log)
 }
 
-// Prepare creates the agent's RPC receiver and connection pool. It must be called
+// Prepare creates the agent's RPC receivers and connection pool. It must be called
 // before Serve and Run.
 func (a *Agent) Prepare() {
 	a.rank = NewRank(a.Engine, a.DirectEngine)
 	a.peers = rpc.NewPool(nil)
+	a.relay = &Relay{peers: a.peers}
 }
 
 // Run acquires the lease and coordinates the group whenever no other agent does,
@@ -133,10 +135,7 @@
 // coordinate changes the group's expert map until ctx ends or a newer coordinator has
 // called an agent.
 func (a *Agent) coordinate(ctx context.Context, state topology.RankState, fence uint64) {
-	c := &coordinator{
-		fence: fence, group: state.Group, members: a.Members, peers: a.peers, directEngine: a.DirectEngine, log: a.Log,
-		planner: newPlanner(a.EngineModel, state.Group, a.Log, a.Metrics), metrics: a.Metrics,
-	}
+	c := a.newCoordinator(state.Group, fence)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	go a.FollowTopology(ctx)
--- a/server/mapcontrol/bench_test.go
+++ b/server/mapcontrol/bench_test.go
@@ -144,18 +144,18 @@
 			listeners = append(listeners, listener)
 			receiver := NewRank(modelEngine{engines, rank}, directEngine)
 			go func() {
-				_ = rpc.Serve(listener, map[string]any{receiverName: receiver}, logrus.NewEntry(logger))
+				_ = rpc.Serve(listener, map[string]any{receiverName: receiver, relayName: &Relay{peers: rpc.NewPool(nil)}}, logrus.NewEntry(logger))
 			}()
 			byAddress[listener.Addr().String()] = modelEngine{engines, rank}
 			members = append(members, Member{Server: listener.Addr().String(), Agent: listener.Addr().String()})
 		}
 		testMetrics := NewMetrics(prometheus.NewRegistry())
 		log := logrus.NewEntry(logger)
-		c := &coordinator{
-			fence: 1, group: "g", members: func() []Member { return members }, peers: rpc.NewPool(nil), log: log, metrics: testMetrics,
-			planner:      newPlanner(func() *topology.Engine { return &model }, "g", log, testMetrics),
-			directEngine: directEngine,
+		agent := &Agent{
+			Members: func() []Member { return members }, EngineModel: func() *topology.Engine { return &model },
+			DirectEngine: directEngine, Log: log, Metrics: testMetrics, peers: rpc.NewPool(nil),
 		}
+		c := agent.newCoordinator("g", 1)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		go func() {
 			random := rand.New(rand.NewPCG(1, 1))
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,13 +13,15 @@
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/loop"
 	"persimmonwind.dev/server/rpc"
-	"persimmonwind.dev/server/wait"
 )
 
 const (
 	// callTimeout limits the time of one call to an agent, including the agent's calls
 	// to its engine.
 	callTimeout = 300 * time.Millisecond
+	// prepareCallTimeout replaces callTimeout for orders to prepare a map, which are
+	// long and don't keep the group from running.
+	prepareCallTimeout = 900 * time.Millisecond
 	// countedRanksPerRound is the number of ranks whose expert counts are read in one
 	// round of reads.
 	// Requests are spread evenly over all ranks, so a part of a large group shows the
@@ -51,11 +49,30 @@
 	// large service has dozens of groups, each with a coordinator that searches for its
 	// ranks, and each read of another machine opens a connection.
 	maxUnknownReads = 128
+	// changeReadIntervalPerBatch replaces changeReadIntervalPerRank in groups that are
+	// read in batches, whose replies are several times as long.
+	changeReadIntervalPerBatch = 4 * time.Millisecond
+	// countedBatchesPerRound is the number of batches whose expert counts are read in
+	// one round. Relays add up the counts of their batch, so all ranks are counted
+	// within a few rounds.
+	countedBatchesPerRound = 3
+	// maxEngineReads limits the number of engines that are read at the same time because
+	// their agents don't answer. Each such read opens a connection and takes up to
+	// callTimeout.
+	maxEngineReads = 16
 	// tickInterval is how often the coordinator checks for orders that have not taken
 	// effect and must be sent again.
 	tickInterval = 10 * time.Millisecond
 )
 
+// orderTimeout returns the limit of the time of a call that passes an order.
+func orderTimeout(kind topology.OrderKind) time.Duration {
+	if kind == topology.Prepare {
+		return prepareCallTimeout
+	}
+	return callTimeout
+}
+
 // coordinator changes the expert map of one group for the holder of the group's lease.
 // It stops when it learns of a newer coordinator.
 type coordinator struct {
@@ -73,6 +90,9 @@
 	mu                sync.Mutex
 	membersByRank     map[int]Member       // Members of the group in the current epoch, by rank.
 	foreignReportedAt map[string]time.Time // When members last reported another group, by server.
+	relayFailedAt     map[string]time.Time // When agents last failed as relays, by address.
+
+	engineReads chan struct{} // Holds one element for each read of an engine whose agent does not answer.
 
 	nextUnknownIndex      int // Index of the listed member at which the search for unknown members continues.
 	epoch                 int64
@@ -82,8 +102,9 @@
 
 // Member is a backend server of the service and the agent beside it.
 type Member struct {
-	Server string // host:port of the backend server.
-	Agent  string // host:port of the agent beside the server.
+	Server     string // host:port of the backend server.
+	Agent      string // host:port of the agent beside the server.
+	DataCentre string
 }
 
 // view is the part of the control state that the planner and the reader use.
@@ -115,12 +136,22 @@
 	}
 }
 
+// newCoordinator returns a coordinator of the group that the agent has acquired the
+// lease of.
+func (a *Agent) newCoordinator(group string, fence uint64) *coordinator {
+	return &coordinator{
+		fence: fence, group: group, members: a.Members, peers: a.peers, directEngine: a.DirectEngine, log: a.Log,
+		planner: newPlanner(a.EngineModel, group, a.Log, a.Metrics), metrics: a.Metrics,
+		membersByRank: map[int]Member{}, foreignReportedAt: map[string]time.Time{}, relayFailedAt: map[string]time.Time{},
+		engineReads: make(chan struct{}, maxEngineReads),
+	}
+}
+
 // run coordinates until ctx ends or a newer coordinator has called an agent.
 func (c *coordinator) run(ctx context.Context, ownRank int) {
 	ctx, c.stop = context.WithCancel(ctx)
 	defer c.stop()
-	c.membersByRank, c.foreignReportedAt = map[int]Member{}, map[string]time.Time{}
-	c.loop = loop.New(mapswitch.Step, func(s mapswitch.State) view {
+	c.loop = loop.New(stepCollectingOrders, func(s mapswitch.State) view {
 		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, MustReadLists: s.NeedsLists(), Slowness: s.Slowness(), Requests: s.Requests()}
 	}, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
@@ -129,170 +160,14 @@
 	_ = c.loop.Run(ctx, mapswitch.New(c.fence, ownRank), tickInterval)
 }
 
-// readAll reads all ranks of the group, and members whose group is unknown, at each
-// interval until ctx ends. The interval is shorter while a change is in progress.
-func (c *coordinator) readAll(ctx context.Context) {
-	var lastCountsReadAt time.Time
-	firstCounted := 0 // Index of the first member whose counts are read in the next round.
-	for ctx.Err() == nil {
-		interval, current := readInterval, view{MustReadLists: true}
-		if lastView := c.loop.View(); lastView != nil {
-			current = *lastView
-		}
-		if current.Phase != mapswitch.Idle && current.Phase != mapswitch.Survey {
-			interval = min(interval, time.Duration(current.Size)*changeReadIntervalPerRank)
-		}
-		countsDue := time.Since(lastCountsReadAt) >= readInterval-interval/2 && !current.mayPauseForArming()
-		if countsDue {
-			lastCountsReadAt = time.Now()
-		}
-		members := c.membersToRead(current.Size)
-		for i, member := range members {
-			readCounts := countsDue && (i+len(members)-firstCounted)%len(members) < countedRanksPerRound
-			go c.read(ctx, member, current.MustReadLists, readCounts)
-		}
-		if countsDue && len(members) > 0 {
-			firstCounted = (firstCounted + countedRanksPerRound) % len(members)
-		}
-		wait.For(ctx, interval)
-	}
-}
-
-// membersToRead returns the members of the group in the current epoch, including those
-// that c.members no longer lists, and some of the listed members whose group is unknown.
-func (c *coordinator) membersToRead(size int) []Member {
-	listed := c.members()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	ranks := map[string]bool{}
-	members := make([]Member, 0, len(c.membersByRank))
-	for _, rank := range slices.Sorted(maps.Keys(c.membersByRank)) { // A stable order, since counts are read round-robin.
-		member := c.membersByRank[rank]
-		ranks[member.Server] = true
-		members = append(members, member)
-	}
-	ttl := foreignMemberTTL
-	if len(c.membersByRank) < size {
-		ttl = foreignMemberTTLWhileSearching
-	}
-	unknown := 0
-	for i := range listed {
-		// Start where the previous round stopped, so that members that never answer
-		// don't keep the others from being read.
-		member := listed[(c.nextUnknownIndex+i)%len(listed)]
-		if ranks[member.Server] || time.Since(c.foreignReportedAt[member.Server]) < ttl {
-			continue
-		}
-		if unknown == maxUnknownReads {
-			c.nextUnknownIndex = (c.nextUnknownIndex + i) % len(listed)
-			break
-		}
-		unknown++
-		members = append(members, member)
-	}
-	return members
-}
-
 func (c *coordinator) caller() Caller { return Caller{Fence: c.fence, Group: c.group} }
 
-// read reads a rank through its agent, or directly from the engine if the agent does
-// not answer.
-func (c *coordinator) read(ctx context.Context, member Member, readLists, readCounts bool) {
-	requestedAt, isDirect := time.Now(), false
-	args := ReadArgs{Caller: c.caller(), Counts: readCounts, Lists: readLists}
-	var reply ReadReply
-	if err := c.call(ctx, member.Agent, methodRead, args, &reply); err != nil {
-		// A new coordinator must read every rank before it knows the ranks, including
-		// one whose agent is unreachable: the group may pause until it has.
-		if c.stopIfFenced(err) || !readLists && !c.isRank(member) {
-			return
-		}
-		// Reading counts or lists from another machine makes the group pause, so counts
-		// are left out and lists are read rarely.
-		reply, isDirect = ReadReply{}, true
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		if err := readEngine(callCtx, c.directEngine(member.Server), readLists && c.allowRemoteLists(), &reply); err != nil {
-			return // A read without an answer does not change the control state.
-		}
-	}
-	c.recordReport(member, mapswitch.RankRead{State: reply.State, Lists: reply.Lists, RequestedAt: requestedAt, AgentUnreachable: isDirect})
-	if reply.Gains != nil {
-		c.planner.enqueue(rankGains{packed: reply.Gains, elapsed: reply.Elapsed})
-	}
-}
-
-// allowRemoteLists reports whether expert lists may now be read directly from an
-// engine on another machine, and if so records the read.
-func (c *coordinator) allowRemoteLists() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if time.Since(c.lastRemoteListsReadAt) < remoteListsReadInterval {
-		return false
-	}
-	c.lastRemoteListsReadAt = time.Now()
-	return true
-}
-
-// recordReport updates the known ranks from a rank's report and posts the report to the
-// control loop. It only marks a member of another group as foreign, and ignores reports
-// of a group that is forming.
-func (c *coordinator) recordReport(member Member, read mapswitch.RankRead) {
-	state := read.State
-	if state.Group != "" && state.Group != c.group {
-		c.markForeign(member)
-	}
-	if state.Group != c.group || !state.Open {
-		return
-	}
-	c.mu.Lock()
-	if state.Epoch > c.epoch {
-		c.epoch = state.Epoch
-		c.membersByRank = map[int]Member{}
-	}
-	if state.Epoch == c.epoch {
-		c.membersByRank[state.Rank] = member
-	}
-	c.mu.Unlock()
-	c.loop.Post(read)
-}
-
-// markForeign records that the member belongs to another group, and closes the
-// connection to its agent.
-func (c *coordinator) markForeign(member Member) {
-	c.mu.Lock()
-	c.foreignReportedAt[member.Server] = time.Now()
-	c.mu.Unlock()
-	c.peers.Drop(member.Agent)
-}
-
-// member returns the member with the rank, and false if it is unknown.
-func (c *coordinator) member(rank int) (Member, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	member, ok := c.membersByRank[rank]
-	return member, ok
-}
-
-func (c *coordinator) isRank(member Member) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, rankMember := range c.membersByRank {
-		if rankMember == member {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *coordinator) execute(ctx context.Context, effect reduce.Effect) {
 	switch effect := effect.(type) {
+	case *relayedOrder:
+		c.sendToRanks(ctx, effect)
 	case mapswitch.SendOrder:
-		member, ok := c.member(effect.Rank)
-		relay, okRelay := c.member(effect.SenderRank)
-		if ok && okRelay {
-			go c.sendOrder(ctx, member, relay, effect)
-		}
+		c.sendToRank(ctx, effect)
 	case mapswitch.ReadRank:
 		if member, ok := c.member(effect.Rank); ok {
 			go c.read(ctx, member, false, false)
@@ -309,107 +184,16 @@
 	}
 }
 
-// sendOrder sends an order to the engine of the rank that member serves. The agent of
-// relay passes it on: the rank's own agent, or another rank's for a hold. If that
-// agent is unreachable, orders to prepare, arm or disarm go directly to the engine.
-// Holds are set and released only through an agent, which refuses a superseded
-// coordinator.
-func (c *coordinator) sendOrder(ctx context.Context, member, relay Member, sendOrder mapswitch.SendOrder) {
-	requestedAt, order := time.Now(), sendOrder.Order
-	orderReturned := mapswitch.OrderReturned{Rank: sendOrder.Rank, Kind: order.Kind}
-	read := mapswitch.RankRead{RequestedAt: requestedAt}
-	defer func() { c.loop.Post(orderReturned) }()
-	var reply GiveReply
-	if err := c.giveThroughAgent(ctx, member, relay, sendOrder, &reply); err != nil {
-		if c.stopIfFenced(err) || order.Kind == topology.Hold || order.Kind == topology.Release {
-			c.logOrderFailure(member, order, err.Error())
-			return
-		}
-		read.AgentUnreachable = true
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		if err := giveAndReport(callCtx, c.directEngine(member.Server), order, &reply); err != nil {
-			c.logOrderFailure(member, order, err.Error())
-			return
-		}
-	}
-	orderReturned.Answered = true
-	if reply.Problem != "" {
-		c.logOrderFailure(member, order, reply.Problem)
-	}
-	if relay != member {
-		go c.read(ctx, member, false, false) // Only the rank's own agent reads an up-to-date report.
-		return
-	}
-	read.State = reply.State
-	c.recordReport(member, read)
-}
-
-// giveThroughAgent sends the order for member's rank to the agent of relay, which passes
-// it to the rank's engine. A prepare order to the rank's own agent carries only the
-// changes to the map in use, unless that agent doesn't have that map.
-func (c *coordinator) giveThroughAgent(ctx context.Context, member, relay Member, sendOrder mapswitch.SendOrder, reply *GiveReply) error {
-	wholeOrder := GiveArgs{Caller: c.caller(), Order: sendOrder.Order}
-	if relay != member {
-		wholeOrder.Server = member.Server
-		return c.call(ctx, relay.Agent, methodGive, wholeOrder, reply)
-	}
-	if sendOrder.BaseMap == nil {
-		return c.call(ctx, member.Agent, methodGive, wholeOrder, reply)
-	}
-	args := c.prepareOrderAsChanges(sendOrder)
-	if !args.hasChanges() {
-		return c.call(ctx, member.Agent, methodGive, wholeOrder, reply)
-	}
-	if err := c.call(ctx, member.Agent, methodGive, args, reply); err != nil || !reply.UnknownBase {
-		return err
-	}
-	*reply = GiveReply{}
-	return c.call(ctx, member.Agent, methodGive, wholeOrder, reply)
-}
-
-// prepareOrderAsChanges returns the prepare order with changes to the map in use instead
-// of a whole map. The result is reused for all ranks, which get the same order:
-// comparing whole maps takes a large part of a small machine's processor time.
-func (c *coordinator) prepareOrderAsChanges(sendOrder mapswitch.SendOrder) GiveArgs {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	latestOrder := c.latestPrepareOrder.Order
-	if latestOrder.Version == sendOrder.Order.Version && latestOrder.Epoch == sendOrder.Order.Epoch && c.latestPrepareOrder.Base == sendOrder.BaseVersion {
-		return c.latestPrepareOrder
-	}
-	args := GiveArgs{
-		Caller: c.caller(), Order: sendOrder.Order,
-		Base: sendOrder.BaseVersion, Changes: mapswitch.Changes(sendOrder.BaseMap, sendOrder.Order.Map),
-	}
-	args.InTurn, _ = mapswitch.RoundRobinShape(sendOrder.BaseMap)
-	args.Order.Map = nil
-	c.latestPrepareOrder = args
-	return args
-}
-
-func (c *coordinator) logOrderFailure(member Member, order topology.Order, problem string) {
-	logevent.Write(c.log, logevent.MapOrderFailed, logrus.Fields{
-		"group": c.group, "server": member.Server, "order": order.Kind.String(),
-		"epoch": order.Epoch, "version": order.Version, "pass": order.Pass, "error": problem,
-	})
-}
-
 func (c *coordinator) call(ctx context.Context, agent, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := c.peers.Call(ctx, agent, method, args, reply)
-	if errors.Is(err, rpc.ErrUnreachable) {
-		c.peers.Drop(agent) // The connection may be dead.
-	}
-	return err
+	return callAgent(ctx, c.peers, agent, method, args, reply)
 }
 
 // stopIfFenced reports whether the error means that a newer coordinator has called,
 // and stops this coordinator if so.
 func (c *coordinator) stopIfFenced(err error) bool {
-	// net/rpc transmits errors as text.
-	if !strings.HasPrefix(err.Error(), errFenced.Error()) {
+	if !isFenced(err) {
 		return false
 	}
 	c.stop()
--- a/server/mapcontrol/mapcontrol_test.go
+++ b/server/mapcontrol/mapcontrol_test.go
@@ -162,7 +162,7 @@
 		baseMap := mapswitch.Map{{{0, 1}, {2}}}
 		var reply GiveReply
 		So(rank.Give(GiveArgs{Caller: Caller{Group: "g"}, Order: topology.Order{Kind: topology.Prepare, Version: 1, Map: baseMap}}, &reply), ShouldBeNil)
-		changes := []mapswitch.Change{{Set: 0, Rank: 1, Experts: []int{2, 0}}}
+		changes := mapswitch.PackChanges([]mapswitch.Change{{Set: 0, Rank: 1, Experts: []int{2, 0}}})
 		next := GiveArgs{Caller: Caller{Group: "g"}, Order: topology.Order{Kind: topology.Prepare, Version: 2}, Base: 1, Changes: changes}
 		So(rank.Give(next, &reply), ShouldBeNil)
 		So(reply.UnknownBase, ShouldBeFalse)
@@ -194,10 +194,8 @@
 		}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		c := &coordinator{
-			group: "g-20", members: func() []Member { return members }, peers: rpc.NewPool(nil), log: logrus.NewEntry(log),
-			membersByRank: map[int]Member{}, foreignReportedAt: map[string]time.Time{},
-		}
+		agent := &Agent{Members: func() []Member { return members }, Log: logrus.NewEntry(log), peers: rpc.NewPool(nil)}
+		c := agent.newCoordinator("g-20", 1)
 		c.loop = loop.New(mapswitch.Step, func(mapswitch.State) view { return view{} }, func(reduce.Effect) {}, nil)
 		reportMembers := func(selected []Member) {
 			for _, member := range selected {
@@ -242,11 +240,9 @@
 	Convey("A new coordinator reads a rank whose agent is unreachable directly from the engine", t, func() {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		c := &coordinator{
-			fence: 2, group: "g", peers: rpc.NewPool(nil), log: logrus.NewEntry(log), membersByRank: map[int]Member{},
-			directEngine: func(string) Engine { return &countingEngine{} },
-			stop:         func() {},
-		}
+		agent := &Agent{DirectEngine: func(string) Engine { return &countingEngine{} }, Log: logrus.NewEntry(log), peers: rpc.NewPool(nil)}
+		c := agent.newCoordinator("g", 2)
+		c.stop = func() {}
 		c.loop = loop.New(mapswitch.Step, func(mapswitch.State) view { return view{} }, func(reduce.Effect) {}, nil)
 		unreachable := Member{Server: "127.0.0.1:1", Agent: "127.0.0.1:1"}
 		c.read(context.Background(), unreachable, false, false)
--- /dev/null
+++ b/server/mapcontrol/members.go
@@ -0,0 +1,103 @@
+package mapcontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"persimmonwind.dev/policy/mapswitch"
+	"persimmonwind.dev/policy/topology"
+)
+
+// membersToRead returns the members of the group in the current epoch, including those
+// that c.members no longer lists, and some of the listed members whose group is unknown.
+func (c *coordinator) membersToRead(size int) []Member {
+	listed := c.members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ranks := map[string]bool{}
+	members := make([]Member, 0, len(c.membersByRank))
+	for _, rank := range slices.Sorted(maps.Keys(c.membersByRank)) { // A stable order, since counts are read round-robin.
+		member := c.membersByRank[rank]
+		ranks[member.Server] = true
+		members = append(members, member)
+	}
+	ttl := foreignMemberTTL
+	if len(c.membersByRank) < size {
+		ttl = foreignMemberTTLWhileSearching
+	}
+	unknown := 0
+	for i := range listed {
+		// Start where the previous round stopped, so that members that never answer
+		// don't keep the others from being read.
+		member := listed[(c.nextUnknownIndex+i)%len(listed)]
+		if ranks[member.Server] || time.Since(c.foreignReportedAt[member.Server]) < ttl {
+			continue
+		}
+		if unknown == maxUnknownReads {
+			c.nextUnknownIndex = (c.nextUnknownIndex + i) % len(listed)
+			break
+		}
+		unknown++
+		members = append(members, member)
+	}
+	return members
+}
+
+// recordReport updates the known ranks from a rank's report and posts the report to the
+// control loop, unless it is a report of another group or of a group that is forming.
+func (c *coordinator) recordReport(member Member, read mapswitch.RankRead) {
+	if c.recordMember(member, read.State) {
+		c.loop.Post(read)
+	}
+}
+
+// recordMember updates the known ranks from a rank's report. It reports whether the
+// report concerns the coordinator's group and the group takes work. A member of another
+// group is only marked as foreign.
+func (c *coordinator) recordMember(member Member, state topology.RankState) bool {
+	if state.Group != "" && state.Group != c.group {
+		c.markForeign(member)
+	}
+	if state.Group != c.group || !state.Open {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state.Epoch > c.epoch {
+		c.epoch = state.Epoch
+		c.membersByRank = map[int]Member{}
+	}
+	if state.Epoch == c.epoch {
+		c.membersByRank[state.Rank] = member
+	}
+	return true
+}
+
+// markForeign records that the member belongs to another group, and closes the
+// connection to its agent.
+func (c *coordinator) markForeign(member Member) {
+	c.mu.Lock()
+	c.foreignReportedAt[member.Server] = time.Now()
+	c.mu.Unlock()
+	c.peers.Drop(member.Agent)
+}
+
+// member returns the member with the rank, and false if it is unknown.
+func (c *coordinator) member(rank int) (Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	member, ok := c.membersByRank[rank]
+	return member, ok
+}
+
+func (c *coordinator) isRank(member Member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, rankMember := range c.membersByRank {
+		if rankMember == member {
+			return true
+		}
+	}
+	return false
+}
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -42,28 +42,23 @@
 	engineModel func() *topology.Engine
 	log         *logrus.Entry
 	group       string
-	gains       chan rankGains // Queue of gains that the forecast does not include yet.
+	gains       chan []byte // Queue of packed count increases that the forecast does not include yet.
 	metrics     *Metrics
 
 	demand         *hotexperts.Demand // Forecast of the demand; nil before the first gains.
+	observedAt     time.Time          // When the latest gains were added to the forecast.
 	lastPostedAt   time.Time          // When the latest plan was posted to the control loop.
 	planConsidered bool               // A plan was considered for the current forecast.
 }
 
-// rankGains is the increase of one rank's expert counts over a period.
-type rankGains struct {
-	packed  []byte        // The increase, encoded by hotexperts.PackCounts.
-	elapsed time.Duration // Length of the period.
-}
-
 func newPlanner(engineModel func() *topology.Engine, group string, log *logrus.Entry, metrics *Metrics) *planner {
 	const queued = 256 // Gains of a few rounds of reads in a large group.
-	return &planner{engineModel: engineModel, group: group, log: log, gains: make(chan rankGains, queued), metrics: metrics}
+	return &planner{engineModel: engineModel, group: group, log: log, gains: make(chan []byte, queued), metrics: metrics}
 }
 
-// enqueue passes a rank's gains to the planner. It drops them if the queue is full,
-// since the gains of other ranks show the same demand.
-func (p *planner) enqueue(gains rankGains) {
+// enqueue passes the gains of one or more ranks to the planner. It drops them if the
+// queue is full, since the gains of other ranks show the same demand.
+func (p *planner) enqueue(gains []byte) {
 	select {
 	case p.gains <- gains:
 	default:
@@ -86,22 +81,23 @@
 	}
 }
 
-// applyGains updates the demand forecast with the gains of one rank.
-func (p *planner) applyGains(gains rankGains) {
+// applyGains updates the demand forecast with the gains of one or more ranks.
+func (p *planner) applyGains(gains []byte) {
 	engineModel := p.engineModel()
 	if engineModel == nil {
 		return
 	}
-	counts, err := hotexperts.UnpackCounts(gains.packed)
+	counts, err := hotexperts.UnpackCounts(gains)
 	if err != nil {
 		logevent.Write(p.log, logevent.ExpertCountsUnreadable, logrus.Fields{"group": p.group, "error": err.Error()})
 		return
 	}
 	if p.demand == nil {
-		p.demand = hotexperts.NewDemand(engineModel.Sets, engineModel.Experts)
+		p.demand, p.observedAt = hotexperts.NewDemand(engineModel.Sets, engineModel.Experts), time.Now()
 	}
-	if p.demand.Observe(counts, gains.elapsed, countedRanksPerRound) {
-		p.planConsidered = false
+	now := time.Now()
+	if p.demand.Observe(counts, now.Sub(p.observedAt)) {
+		p.observedAt, p.planConsidered = now, false
 	}
 }
 
--- a/server/mapcontrol/rank.go
+++ b/server/mapcontrol/rank.go
@@ -59,10 +59,9 @@
 
 // ReadReply is the reply of Rank.Read.
 type ReadReply struct {
-	State   topology.RankState
-	Gains   []byte             // Packed increase of the counts since they were last read; nil for the first read in an epoch.
-	Elapsed time.Duration      // Time over which Gains accumulated.
-	Lists   topology.RankLists // The experts that the rank holds, by expert set; empty unless ReadArgs.Lists is set.
+	State topology.RankState
+	Gains []byte             // Packed increase of the counts since they were last read; nil for the first read in an epoch.
+	Lists topology.RankLists // The experts that the rank holds, by expert set; empty unless ReadArgs.Lists is set.
 }
 
 // GiveArgs are the arguments of Rank.Give, which passes an order to a rank.
@@ -77,7 +76,7 @@
 	// that shape, which assigns the experts to the ranks round-robin.
 	Base    int64
 	InTurn  mapswitch.Shape
-	Changes []mapswitch.Change
+	Changes []byte // Encoded by mapswitch.PackChanges.
 }
 
 // hasChanges reports whether the order carries changes instead of a whole map.
@@ -102,13 +101,12 @@
 	engine       Engine
 	directEngine func(address string) Engine // Returns the client of another rank's engine.
 
-	mu           sync.Mutex
-	group        string                  // The rank's group, as its engine last reported; empty while unknown.
-	fence        uint64                  // The highest fencing number of a coordinator of the group.
-	lastCallAt   time.Time               // When a coordinator of the group last called, or when the rank joined it.
-	counts       topology.RankCounts     // Counts of the latest read, from which the next gains are computed.
-	countsReadAt time.Time               // When counts was read.
-	maps         map[int64]mapswitch.Map // Maps by version, at most two: the latest prepared map and the base of its changes.
+	mu         sync.Mutex
+	group      string                  // The rank's group, as its engine last reported; empty while unknown.
+	fence      uint64                  // The highest fencing number of a coordinator of the group.
+	lastCallAt time.Time               // When a coordinator of the group last called, or when the rank joined it.
+	counts     topology.RankCounts     // Counts of the latest read, from which the next gains are computed.
+	maps       map[int64]mapswitch.Map // Maps by version, at most two: the latest prepared map and the base of its changes.
 }
 
 // NewRank returns the receiver for the engine beside the agent. The function
@@ -133,7 +131,7 @@
 		if err != nil {
 			return fmt.Errorf("read counts: %w", err)
 		}
-		reply.Gains, reply.Elapsed = r.countGains(counts)
+		reply.Gains = r.countGains(counts)
 	}
 	if err := readEngine(ctx, r.engine, args.Lists, reply); err != nil {
 		return err
@@ -142,17 +140,17 @@
 	return nil
 }
 
-// countGains returns the increase of the counts since they were last read, and the
-// time since then. It returns nil if they were not read in this epoch before.
-func (r *Rank) countGains(counts topology.RankCounts) ([]byte, time.Duration) {
+// countGains returns the increase of the counts since they were last read. It returns
+// nil if they were not read in this epoch before.
+func (r *Rank) countGains(counts topology.RankCounts) []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before, elapsed := r.counts, time.Since(r.countsReadAt)
-	r.counts, r.countsReadAt = counts, time.Now()
+	before := r.counts
+	r.counts = counts
 	if before.Counts == nil || before.Epoch != counts.Epoch {
-		return nil, 0
+		return nil
 	}
-	return hotexperts.PackCounts(before.Counts, counts.Counts), elapsed
+	return hotexperts.PackCounts(before.Counts, counts.Counts)
 }
 
 // readEngine reads the engine's report and, if readLists is set, its expert lists.
@@ -173,7 +171,7 @@
 
 // Give passes an order to the rank and returns the rank's state after it.
 func (r *Rank) Give(args GiveArgs, reply *GiveReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout(args.Order.Kind))
 	defer cancel()
 	if err := r.checkCaller(ctx, args.Caller); err != nil {
 		return err
@@ -209,8 +207,12 @@
 		if !hasBase {
 			return nil, false
 		}
+		changes, err := mapswitch.UnpackChanges(args.Changes)
+		if err != nil {
+			return nil, false
+		}
 		var ok bool
-		if next, ok = mapswitch.Apply(base, args.Changes); !ok {
+		if next, ok = mapswitch.Apply(base, changes); !ok {
 			return nil, false
 		}
 	}
--- /dev/null
+++ b/server/mapcontrol/reads.go
@@ -0,0 +1,115 @@
+package mapcontrol
+
+import (
+	"context"
+	"time"
+
+	"persimmonwind.dev/policy/mapswitch"
+	"persimmonwind.dev/server/wait"
+)
+
+// readAll reads all ranks of the group, and members whose group is unknown, at each
+// interval until ctx ends. The interval is shorter while a change is in progress.
+func (c *coordinator) readAll(ctx context.Context) {
+	var lastCountsReadAt time.Time
+	firstCounted := 0 // Index of the first member or batch whose counts are read in the next round.
+	for ctx.Err() == nil {
+		current := view{MustReadLists: true}
+		if lastView := c.loop.View(); lastView != nil {
+			current = *lastView
+		}
+		members := c.membersToRead(current.Size)
+		round := c.newReadRound(members)
+		interval := readInterval
+		if current.Phase != mapswitch.Idle && current.Phase != mapswitch.Survey {
+			interval = min(interval, round.changeInterval)
+		}
+		countsDue := time.Since(lastCountsReadAt) >= readInterval-interval/2 && !current.mayPauseForArming() && !(round.isRelayed && current.Phase == mapswitch.Preparing)
+		if countsDue {
+			lastCountsReadAt = time.Now()
+		}
+		calls := len(round.calls)
+		for i, call := range round.calls {
+			readCounts := countsDue && (i+calls-firstCounted%calls)%calls < round.countedCalls
+			go call(ctx, current.MustReadLists, readCounts)
+		}
+		if countsDue && calls > 0 {
+			firstCounted = (firstCounted + round.countedCalls) % calls
+		}
+		wait.For(ctx, interval)
+	}
+}
+
+// readRound is a round of calls that read members directly or in batches.
+type readRound struct {
+	calls          []func(ctx context.Context, readLists, readCounts bool)
+	isRelayed      bool          // The calls go to relays, which the orders to prepare a map keep busy.
+	countedCalls   int           // Number of calls that also read counts.
+	changeInterval time.Duration // Interval between rounds while a change is in progress.
+}
+
+// newReadRound returns the calls that read the members.
+func (c *coordinator) newReadRound(members []Member) readRound {
+	if !usesRelays(len(members)) {
+		round := readRound{countedCalls: countedRanksPerRound, changeInterval: time.Duration(len(members)) * changeReadIntervalPerRank}
+		for _, member := range members {
+			round.calls = append(round.calls, func(ctx context.Context, readLists, readCounts bool) {
+				c.read(ctx, member, readLists, readCounts)
+			})
+		}
+		return round
+	}
+	batches := relayBatches(members)
+	round := readRound{isRelayed: true, countedCalls: countedBatchesPerRound, changeInterval: time.Duration(len(batches)) * changeReadIntervalPerBatch}
+	for _, batch := range batches {
+		round.calls = append(round.calls, func(ctx context.Context, readLists, readCounts bool) {
+			c.readThroughRelay(ctx, batch, readLists, readCounts)
+		})
+	}
+	return round
+}
+
+// read reads a rank through its agent, or directly from the engine if the agent does
+// not answer.
+func (c *coordinator) read(ctx context.Context, member Member, readLists, readCounts bool) {
+	requestedAt, isDirect := time.Now(), false
+	args := ReadArgs{Caller: c.caller(), Counts: readCounts, Lists: readLists}
+	var reply ReadReply
+	if err := c.call(ctx, member.Agent, methodRead, args, &reply); err != nil {
+		// A new coordinator must read every rank before it knows the ranks, including
+		// one whose agent is unreachable: the group may pause until it has.
+		if c.stopIfFenced(err) || !readLists && !c.isRank(member) {
+			return
+		}
+		// Reading counts or lists from another machine makes the group pause, so counts
+		// are left out and lists are read rarely.
+		select {
+		case c.engineReads <- struct{}{}:
+			defer func() { <-c.engineReads }()
+		default:
+			return // A later round reads the engine.
+		}
+		reply, isDirect = ReadReply{}, true
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := readEngine(callCtx, c.directEngine(member.Server), readLists && c.allowRemoteLists(), &reply); err != nil {
+			return // A read without an answer does not change the control state.
+		}
+	}
+	c.recordReport(member, mapswitch.RankRead{State: reply.State, Lists: reply.Lists, RequestedAt: requestedAt, AgentUnreachable: isDirect})
+	if reply.Gains != nil {
+		c.planner.enqueue(reply.Gains)
+	}
+}
+
+// allowRemoteLists reports whether expert lists may now be read directly from an
+// engine on another machine, and if so records the read.
+func (c *coordinator) allowRemoteLists() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.lastRemoteListsReadAt) < remoteListsReadInterval {
+		return false
+	}
+	c.lastRemoteListsReadAt = time.Now()
+	return true
+}
--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,13 +63,40 @@
 	tls *tls.Config // TLS configuration of outgoing connections; nil for plain TCP.
 
 	mu      sync.Mutex
-	clients map[string]*rpc.Client
+	clients map[string]*peerClient
+}
+
+// peerClient is a client with the connection that it uses.
+type peerClient struct {
+	*rpc.Client
+	connection *observedConn
+}
+
+// observedConn is a connection that records when bytes last arrived on it.
+type observedConn struct {
+	net.Conn
+	lastReadAt atomic.Int64 // Nanoseconds since connectedAt; 0 if nothing has arrived yet.
+
+	connectedAt time.Time
+}
+
+func (c *observedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.lastReadAt.Store(int64(time.Since(c.connectedAt)))
+	}
+	return n, err
+}
+
+// silentSince reports whether nothing has arrived on the connection since the time.
+func (c *observedConn) silentSince(since time.Time) bool {
+	return c.connectedAt.Add(time.Duration(c.lastReadAt.Load())).Before(since)
 }
 
 // NewPool returns a pool that dials with the TLS configuration, or without TLS if
 // it is nil.
 func NewPool(config *tls.Config) *Pool {
-	return &Pool{tls: config, clients: map[string]*rpc.Client{}}
+	return &Pool{tls: config, clients: map[string]*peerClient{}}
 }
 
 // Call calls the method at the address and waits for its reply. It fails with
@@ -87,7 +115,7 @@
 	}
 }
 
-func (p *Pool) checkReply(address string, client *rpc.Client, err error) error {
+func (p *Pool) checkReply(address string, client *peerClient, err error) error {
 	var remote rpc.ServerError
 	if err == nil || errors.As(err, &remote) {
 		return err
@@ -96,7 +124,7 @@
 	return fmt.Errorf("%w: %s: %v", ErrUnreachable, address, err)
 }
 
-func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+func (p *Pool) client(ctx context.Context, address string) (*peerClient, error) {
 	p.mu.Lock()
 	client := p.clients[address]
 	p.mu.Unlock()
@@ -107,7 +135,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.storeClient(address, rpc.NewClient(connection)), nil
+	observed := &observedConn{Conn: connection, connectedAt: time.Now()}
+	return p.storeClient(address, &peerClient{Client: rpc.NewClient(observed), connection: observed}), nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -121,7 +150,7 @@
 
 // storeClient stores the client and returns it. If another call has stored one in
 // the meantime, it closes the client and returns the stored one.
-func (p *Pool) storeClient(address string, client *rpc.Client) *rpc.Client {
+func (p *Pool) storeClient(address string, client *peerClient) *peerClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if existing := p.clients[address]; existing != nil {
@@ -132,7 +161,7 @@
 	return client
 }
 
-func (p *Pool) removeClient(address string, client *rpc.Client) {
+func (p *Pool) removeClient(address string, client *peerClient) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.clients[address] == client {
@@ -152,6 +181,17 @@
 	}
 }
 
+// DropSilent closes the connection to a peer on which nothing has arrived since the
+// time. All calls in flight on it fail.
+func (p *Pool) DropSilent(address string, since time.Time) {
+	p.mu.Lock()
+	client := p.clients[address]
+	p.mu.Unlock()
+	if client != nil && client.connection.silentSince(since) {
+		p.removeClient(address, client)
+	}
+}
+
 // Close closes every connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/server/rpc/rpc_test.go
+++ b/server/rpc/rpc_test.go
@@ -1,9 +1,12 @@
 package rpc
 
 import (
+	"context"
+	"errors"
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
@@ -54,3 +57,44 @@
 		So(logged.AllEntries(), ShouldHaveLength, 3)
 	})
 }
+
+// Slow is an RPC receiver whose replies wait until released is closed.
+type Slow struct{ released chan struct{} }
+
+// Say replies with its argument after the release.
+func (s Slow) Say(word string, reply *string) error {
+	<-s.released
+	*reply = word
+	return nil
+}
+
+func TestDropSilent(t *testing.T) {
+	Convey("Given a call that has not been answered in time", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = listener.Close() }()
+		logger, _ := test.NewNullLogger()
+		slow := Slow{released: make(chan struct{})}
+		defer close(slow.released)
+		go func() { _ = Serve(listener, map[string]any{"slow": slow, "echo": Echo{}}, logrus.NewEntry(logger)) }()
+		pool, address := NewPool(nil), listener.Addr().String()
+		defer pool.Close()
+		var reply string
+		So(pool.Call(t.Context(), address, "echo.Say", "here", &reply), ShouldBeNil)
+		connection := pool.clients[address]
+		calledAt := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		So(errors.Is(pool.Call(ctx, address, "slow.Say", "late", new(string)), ErrUnreachable), ShouldBeTrue)
+
+		Convey("a connection on which nothing has arrived since the call is closed", func() {
+			pool.DropSilent(address, calledAt)
+			So(pool.clients[address], ShouldBeNil)
+		})
+		Convey("a connection to a peer that is only slow is kept", func() {
+			So(pool.Call(t.Context(), address, "echo.Say", "alive", &reply), ShouldBeNil)
+			pool.DropSilent(address, calledAt)
+			So(pool.clients[address], ShouldEqual, connection)
+		})
+	})
+}
