Heed servers that say they leave, or ask for a pause, in their answers

Cause: nothing read Server-Leaving, nor the Retry-After of a server's 503; after either, the server went on getting requests until its row changed or its short backoff of 60 ms had ended.

Change: every head of a response that arrives is looked at: interim ones, failures, refusals, late copies of other answers, heads of streams; not misdirected ones, which are another server's. A server that says it leaves gets nothing further from the entry, also after its row comes back from an older copy; a later incarnation does. A pause is kept to the end (an hour at most); callers are refused at once with the time to its end if all servers ask for one. Both are logged (326, 327) and counted.

Before: without the handling the server went on getting requests (no code knew either header).

--- a/policy/dispatch/choice_test.go
+++ b/policy/dispatch/choice_test.go
@@ -34,7 +34,7 @@
 	}
 	for range entries {
 		d := NewDispatcher(WarmUpLimit{Entries: entries})
-		d.Configure(candidates(servers, 10), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(servers, 10), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		g.entries = append(g.entries, d)
 	}
 	return g
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -77,6 +77,7 @@
 	warmUp  WarmUpLimit
 	servers []*server
 	byID    map[string]*server
+	notices map[string]*notice // What servers have said of themselves, by ID.
 	queue   []Ticket
 	freedAt []time.Time // When slots became free, for the times within rateWindow.
 	limit   int         // Concurrency limit of all servers together; 0 for none.
@@ -87,12 +88,13 @@
 
 // NewDispatcher returns a dispatcher for one service.
 func NewDispatcher(warmUp WarmUpLimit) *Dispatcher {
-	return &Dispatcher{warmUp: warmUp, byID: map[string]*server{}}
+	return &Dispatcher{warmUp: warmUp, byID: map[string]*server{}, notices: map[string]*notice{}}
 }
 
 // Configure sets the servers that may get new work, the service's engine model,
 // which is nil for plain services, and the longest allowed pause between events.
-func (d *Dispatcher) Configure(candidates []topology.Candidate, service topology.Service, pauseGoal time.Duration) {
+func (d *Dispatcher) Configure(candidates []topology.Candidate, service topology.Service, pauseGoal time.Duration, now time.Time) {
+	d.forgetNotices(now)
 	d.pace.configure(service.Engine, pauseGoal)
 	d.warmUp.PerSecond = service.WarmUpPerSecond
 	d.warmUp.raiseEntries(len(candidates))
@@ -104,8 +106,10 @@
 			srv = &server{}
 		}
 		srv.candidate = candidate
-		servers = append(servers, srv)
 		byID[candidate.ID] = srv
+		if d.applyNotice(srv, now) {
+			servers = append(servers, srv)
+		}
 	}
 	d.servers, d.byID = servers, byID
 }
@@ -132,6 +136,14 @@
 		decision.RetryAfter = maxPredictedWait
 		return decision
 	}
+	if pause := d.pauseOfAll(now); pause > 0 {
+		decision.PredictedWait += pause
+		if pause > maxPredictedWait {
+			decision.Verdict, decision.Reason = Refuse, "servers_paused"
+			decision.RetryAfter = decision.PredictedWait
+			return decision
+		}
+	}
 	if d.gate.closed {
 		// The wait can't be predicted while the group is closed, so the queue is
 		// bounded by the requests that the group can take when it opens.
@@ -170,6 +182,13 @@
 			// behind it: they may probe the group.
 			blocked = !(d.gate.closed && ticket.FoundClosed)
 		}
+		if pause := d.pauseOfAll(now); pause > maxPredictedWait || pause > 0 && now.Add(pause).After(ticket.Deadline) {
+			decision := d.newDecision(ticket, now)
+			decision.Verdict, decision.Reason = Refuse, "servers_paused"
+			decision.RetryAfter = pause + d.predictedWait(ticket, now)
+			decisions = append(decisions, decision)
+			continue
+		}
 		if d.timedOut(ticket, now) {
 			decision := d.newDecision(ticket, now)
 			decision.Verdict, decision.Reason = Refuse, "waited_too_long"
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -24,7 +24,7 @@
 // plainDispatcher returns the dispatcher of a plain service.
 func plainDispatcher(servers, slots int) *Dispatcher {
 	d := NewDispatcher(WarmUpLimit{Entries: 1})
-	d.Configure(candidates(servers, slots), topology.Service{}, 0)
+	d.Configure(candidates(servers, slots), topology.Service{}, 0, start)
 	return d
 }
 
@@ -106,7 +106,7 @@
 	Convey("A large group reserves more of the longest pause for a jump of demand", t, func() {
 		passAtLimit := func(servers int) time.Duration {
 			d := NewDispatcher(WarmUpLimit{Entries: 1})
-			d.Configure(candidates(servers, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+			d.Configure(candidates(servers, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 			baseSeconds := d.pace.baseSeconds()
 			requests := servers * 5
 			slope := 4 * d.pace.evenSlope(servers) // So that the pause goal limits, not the slots.
@@ -127,7 +127,7 @@
 func TestPredictedFirstEvent(t *testing.T) {
 	Convey("The time to the first event is predicted from the observed passes", t, func() {
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
-		d.Configure(candidates(3, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(3, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		unseen := d.Submit(ticket(1, start), 0, start)
 		So(unseen.Verdict, ShouldEqual, Go)
 		So(unseen.PredictedFirstEvent, ShouldAlmostEqual, 84*time.Millisecond, time.Millisecond) // 2.9 passes of 29 ms without work.
@@ -143,7 +143,7 @@
 func TestRequestsAreSpreadEvenly(t *testing.T) {
 	Convey("Requests are spread evenly, counting those of other entries", t, func() {
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
-		d.Configure(candidates(3, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(3, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		d.Report("s0", Report{Queued: 0, Active: 4, Open: true}, start)
 		d.Report("s1", Report{Queued: 0, Active: 0, Open: true}, start)
 		d.Report("s2", Report{Queued: 0, Active: 0, Open: true}, start)
@@ -180,7 +180,7 @@
 func TestLongPassesLowerTheLimit(t *testing.T) {
 	Convey("Long passes lower the concurrency limit", t, func() {
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
-		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		now := start
 		fill := func() int {
 			placed := 0
@@ -207,7 +207,7 @@
 	})
 	Convey("A closed group gets no requests until it reports that it is open", t, func() {
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
-		d.Configure(candidates(1, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(1, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		d.Report("s0", Report{Queued: 0, Active: 0, Open: false}, start)
 		So(d.Submit(ticket(1, start), 0, start).Verdict, ShouldEqual, Wait)
 		d.Report("s0", Report{Queued: 0, Active: 0, Open: true}, start)
@@ -218,7 +218,7 @@
 func TestLateBacklogLeavesCapacity(t *testing.T) {
 	Convey("A backlog of late requests leaves capacity to new requests", t, func() {
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
-		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		now := start
 		for i := range 12 {
 			d.Report(fmt.Sprint("s", i), Report{Open: false}, now)
@@ -239,7 +239,7 @@
 func TestClosedGroup(t *testing.T) {
 	Convey("Given a group that refuses a request despite free slots", t, func() {
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
-		d.Configure(candidates(4, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(4, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		now := start
 		first := d.Submit(ticket(0, now), 0, now)
 		d.Done(first.Server.ID, Busy, now)
@@ -301,7 +301,7 @@
 func TestSlowRankGetsWorkLast(t *testing.T) {
 	Convey("Given a group with one rank three times as slow as normal", t, func() {
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
-		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+		d.Configure(candidates(12, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 		now := start
 		for i := range 12 {
 			pace := 1.0
@@ -354,7 +354,7 @@
 		for range entries {
 			d := NewDispatcher(warmUp)
 			cold := candidates(1, 1000)
-			d.Configure(cold, service, 0)
+			d.Configure(cold, service, 0, start)
 			for i := range 1000 {
 				now := start.Add(time.Duration(i) * time.Millisecond / 2)
 				if d.Submit(ticket(uint64(i), now), 0, now).Verdict == Go {
@@ -371,8 +371,8 @@
 		total := 0
 		for range 18 {
 			d := NewDispatcher(WarmUpLimit{OverloadFactor: 1.5, ExtraPerSecond: 5, Entries: 8})
-			d.Configure(candidates(63, 1000), topology.Service{WarmUpPerSecond: 26}, 0)
-			d.Configure(candidates(1, 1000), topology.Service{WarmUpPerSecond: 26}, 0) // All others have left.
+			d.Configure(candidates(63, 1000), topology.Service{WarmUpPerSecond: 26}, 0, start)
+			d.Configure(candidates(1, 1000), topology.Service{WarmUpPerSecond: 26}, 0, start) // All others have left.
 			for i := range 1000 {
 				now := start.Add(time.Duration(i) * time.Millisecond / 2)
 				if d.Submit(ticket(uint64(i), now), 0, now).Verdict == Go {
@@ -436,7 +436,7 @@
 		d := NewDispatcher(WarmUpLimit{Entries: 1})
 		list := candidates(2, 1)
 		list[0].Unlisted = true
-		d.Configure(list, topology.Service{}, 0)
+		d.Configure(list, topology.Service{}, 0, start)
 		So(d.Submit(ticket(1, start), 0, start).Server.ID, ShouldEqual, "s1")
 		So(d.Submit(ticket(2, start), 0, start).Server.ID, ShouldEqual, "s0")
 	})
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -40,6 +40,7 @@
 	silent        bool      // FindSilent has returned the server, and it has sent no event since.
 	health        health
 	sends         sendWindow // Limits the requests per second.
+	notice        *notice    // What the server has said of itself; nil for nothing.
 }
 
 // requestSent records that this entry sends a request to the server.
@@ -122,7 +123,7 @@
 }
 
 func (d *Dispatcher) hasRoom(s *server, now time.Time) bool {
-	if now.Before(s.busyUntil) || s.closed && s.fresh(now) || s.health.excluded(now) {
+	if now.Before(s.busyUntil) || now.Before(s.pausedUntil()) || s.closed && s.fresh(now) || s.health.excluded(now) {
 		return false
 	}
 	if s.silent && s.ownRequests > 0 || !s.sends.allows(d.warmUp, now) {
--- a/policy/dispatch/silence_test.go
+++ b/policy/dispatch/silence_test.go
@@ -16,7 +16,7 @@
 // at each server.
 func streamingDispatcher(servers int) *Dispatcher {
 	d := NewDispatcher(WarmUpLimit{Entries: 1})
-	d.Configure(candidates(servers, 12), topology.Service{Engine: engine()}, 120*time.Millisecond)
+	d.Configure(candidates(servers, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
 	for _, server := range d.servers {
 		server.requestSent(start)
 	}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -237,12 +237,13 @@
 		return dispatch.Unreachable, result.Errorf(result.NoBackendServer, "%v", err)
 	}
 	c.sends++
-	exchange, err := c.gateway.pool.Do(ctx, conn, c.forward(server))
+	exchange, err := c.gateway.pool.Do(ctx, conn, c.forward(service, server))
 	if err != nil {
 		c.possibleExecutions++
 		return c.classifyFailure(ctx, err)
 	}
 	decoded := platform.DecodeResponse(exchange.Response.StatusCode, exchange.Response.Header)
+	c.observePause(service, server, decoded)
 	if decoded.NotRun {
 		exchange.Abort()
 		refusal := result.Errorf(result.Overloaded, "server %s refused with status %d", server.ID, exchange.Response.StatusCode)
@@ -266,7 +267,7 @@
 
 // forward returns the request to the server: the caller's request with the headers
 // that the gateway sets.
-func (c *call) forward(server topology.Candidate) upstream.Request {
+func (c *call) forward(service string, server topology.Candidate) upstream.Request {
 	forward := platform.ForwardOptions{Server: server.ID, Remaining: time.Until(c.deadline), LastEventID: c.lastEventID}
 	if c.organisation != nil {
 		forward.Organisation = c.organisation.Name
@@ -277,9 +278,42 @@
 		Matches: func(header http.Header) bool {
 			return platform.DecodeResponse(0, header).AttemptID == c.request.AttemptID
 		},
+		Observe: func(response *http.Response) { c.observeLeaving(service, server, response) },
 	}
 }
 
+// observeLeaving tells the dispatcher that the server stops soon if its response says
+// so. A misdirected response is another server's.
+func (c *call) observeLeaving(service string, server topology.Candidate, response *http.Response) {
+	decoded := platform.DecodeResponse(response.StatusCode, response.Header)
+	if !decoded.Leaving || decoded.Misdirected {
+		return
+	}
+	if c.gateway.dispatchers.serverLeaving(service, server) {
+		c.gateway.metrics.leavingServers.Inc()
+		logevent.Write(c.log, logevent.ServerSaysLeaving, logrus.Fields{
+			"server": server.ID, "service": service, "status": response.StatusCode, "config": c.snapshot.Config.Version,
+		})
+	}
+}
+
+// observePause tells the dispatcher that the server wants no requests for a while if its
+// response says so.
+func (c *call) observePause(service string, server topology.Candidate, decoded platform.Response) {
+	if decoded.InvalidRetryAfter != "" {
+		logevent.Write(c.log, logevent.HeaderRejected, logrus.Fields{"server": server.ID, "retry_after": fmt.Sprintf("%.40q", decoded.InvalidRetryAfter)})
+	}
+	if !decoded.Unavailable || decoded.RetryAfter <= 0 {
+		return
+	}
+	until := c.gateway.dispatchers.pauseRequested(service, server, decoded.RetryAfter)
+	c.gateway.metrics.pauseRequests.Inc()
+	logevent.Write(c.log, logevent.PauseRequested, logrus.Fields{
+		"server": server.ID, "service": service, "asked_ms": decoded.RetryAfter.Milliseconds(),
+		"pause_ms": time.Until(until).Milliseconds(), "config": c.snapshot.Config.Version,
+	})
+}
+
 // classifyFailure returns the outcome and the error for an exchange that ended
 // before the answer was complete.
 func (c *call) classifyFailure(ctx context.Context, err error) (dispatch.Outcome, *result.Error) {
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -56,7 +56,7 @@
 		}
 	}
 	for name, dispatcher := range d.byService {
-		dispatcher.Configure(snapshot.Candidates(name), snapshot.Service(name), targets[name])
+		dispatcher.Configure(snapshot.Candidates(name), snapshot.Service(name), targets[name], time.Now())
 		dispatcher.resolveWaiting()
 	}
 }
@@ -173,6 +173,24 @@
 	}
 }
 
+// serverLeaving records that a server has said in an answer that it stops soon. It
+// reports whether this was not known.
+func (d *dispatchers) serverLeaving(service string, server topology.Candidate) (isNew bool) {
+	d.withService(service, func(dispatcher *dispatcher) {
+		if isNew = dispatcher.ServerLeaving(server, time.Now()); isNew {
+			dispatcher.resolveWaiting()
+		}
+	})
+	return isNew
+}
+
+// pauseRequested records that a server has asked to get no requests for a while. It
+// returns the end of the pause.
+func (d *dispatchers) pauseRequested(service string, server topology.Candidate, pause time.Duration) (until time.Time) {
+	d.withService(service, func(dispatcher *dispatcher) { until = dispatcher.PauseRequested(server, pause, time.Now()) })
+	return until
+}
+
 // registerStream allows the stream to be migrated off the server until the returned
 // function is called.
 func (d *dispatchers) registerStream(service, server string, c *call, migrate context.CancelCauseFunc) (unregister func()) {
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -19,6 +19,9 @@
 	duration    prometheus.Histogram   // Time to the end of the answer.
 	firstAnswer prometheus.Histogram   // Time to the first byte of the answer.
 
+	leavingServers prometheus.Counter // Servers that have said in an answer that they stop soon.
+	pauseRequests  prometheus.Counter // Refusals by which servers asked for a pause.
+
 	predictionError prometheus.Histogram // Difference between the predicted and the actual time of a stream's first event.
 }
 
@@ -37,12 +40,20 @@
 			Namespace: "persimmonwind", Name: "gateway_first_answer_seconds", Buckets: latencyBuckets,
 			Help: "Time from a request to the first byte of its answer, in seconds.",
 		}),
+		leavingServers: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "gateway_leaving_servers_total",
+			Help: "Backend servers that have said in an answer that they stop soon.",
+		}),
+		pauseRequests: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "gateway_pause_requests_total",
+			Help: "Refusals by which backend servers asked to get no requests for a while.",
+		}),
 		predictionError: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: "persimmonwind", Name: "gateway_first_event_error_seconds", Buckets: latencyBuckets,
 			Help: "Difference between the predicted and the actual time of a stream's first event, in seconds.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.duration, m.firstAnswer, m.predictionError)
+	registry.MustRegister(m.requests, m.duration, m.firstAnswer, m.leavingServers, m.pauseRequests, m.predictionError)
 	return m
 }
 
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -38,6 +38,9 @@
 	Body   []byte
 	// Matches reports whether the headers belong to a response to this request.
 	Matches func(header http.Header) bool
+	// Observe is called for the head of every response that arrives, also of interim
+	// ones and of those to other requests; nil for none.
+	Observe func(response *http.Response)
 }
 
 // Exchange is a request that was sent and the head of its response, that is, the
@@ -107,6 +110,9 @@
 		if err != nil {
 			return fmt.Errorf("%w: receive: %w", ErrInterrupted, err)
 		}
+		if request.Observe != nil {
+			request.Observe(response)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
