Let polls of the store wait as long as the deployment's bounds allow

Cause: calls to the store are the largest price on large; every entry polled its two tables every 1.8 s, the wait that the smallest bound of 3 s allows.

Change: the wait is the deployment's own time for being up to date again, less the 0.7 s that a slow store may add and 0.5 s for the next call: 1.8 s where it was, 3.8 s on large.

--- a/server/deployed/agent.go
+++ b/server/deployed/agent.go
@@ -20,6 +20,7 @@
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/mapcontrol"
 	"persimmonwind.dev/server/upstream"
+	"persimmonwind.dev/server/watch"
 )
 
 // Agent is the agent process that runs beside one rank of a model group.
@@ -94,7 +95,7 @@
 
 // followTopology keeps the agent's topology up to date with the store until ctx ends.
 func (a *Agent) followTopology(ctx context.Context) {
-	follower := newFollower(a.store, agentBatchDelay, a.log, a.restores, func(*topology.Snapshot) {})
+	follower := newFollower(a.store, agentBatchDelay, watch.PollWait(a.settings.ContactTime), a.log, a.restores, func(*topology.Snapshot) {})
 	a.follower.Store(follower)
 	// A follower returns no error when its context ends.
 	_ = follower.run(ctx)
--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -20,6 +20,7 @@
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/upstream"
 	"persimmonwind.dev/server/wait"
+	"persimmonwind.dev/server/watch"
 )
 
 const (
@@ -50,7 +51,7 @@
 	registry := newRegistry()
 	e := &Entry{settings: settings, log: log, registry: registry}
 	e.gateway = gateway.New(settings, log, gateway.NewMetrics(registry))
-	e.follower = newFollower(platform.NewStore(settings.StoreAddress, upstream.Dial), entryBatchDelay, log, newRestoreCounter(registry), e.gateway.Install)
+	e.follower = newFollower(platform.NewStore(settings.StoreAddress, upstream.Dial), entryBatchDelay, watch.PollWait(settings.ContactTime), log, newRestoreCounter(registry), e.gateway.Install)
 	return e
 }
 
--- a/server/deployed/topology.go
+++ b/server/deployed/topology.go
@@ -37,12 +37,13 @@
 	loop       *loop.Loop[topology.State, *topology.Snapshot]
 	log        *logrus.Entry
 	batchDelay time.Duration // Delay after a change in which a watch collects further changes.
+	pollWait   time.Duration // How long a poll of the store waits for a change.
 	restores   prometheus.Counter
 }
 
 // newFollower returns a follower that passes each new snapshot to install.
-func newFollower(store *platform.Store, batchDelay time.Duration, log *logrus.Entry, restores prometheus.Counter, install func(*topology.Snapshot)) *follower {
-	f := &follower{store: store, log: log, batchDelay: batchDelay, restores: restores}
+func newFollower(store *platform.Store, batchDelay, pollWait time.Duration, log *logrus.Entry, restores prometheus.Counter, install func(*topology.Snapshot)) *follower {
+	f := &follower{store: store, log: log, batchDelay: batchDelay, pollWait: pollWait, restores: restores}
 	var previous *topology.Snapshot
 	var last topology.State
 	view := func(state topology.State) *topology.Snapshot {
@@ -79,7 +80,7 @@
 // run follows the store until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for _, table := range []string{platform.TableOperators, platform.TableServers} {
-		w := &watch.Watch{Store: f.store, Table: table, Post: f.loop.Post, Log: f.log, BatchDelay: f.batchDelay, Restores: f.restores}
+		w := &watch.Watch{Store: f.store, Table: table, Post: f.loop.Post, Log: f.log, BatchDelay: f.batchDelay, PollWait: f.pollWait, Restores: f.restores}
 		go w.Run(ctx)
 	}
 	return f.loop.Run(ctx, topology.New(), tickInterval)
--- a/server/watch/watch.go
+++ b/server/watch/watch.go
@@ -23,12 +23,13 @@
 )
 
 const (
-	// pollWait is how long a poll waits for a change. A lost response is noticed only
-	// when the poll times out, since its connection stays open and delivers nothing.
-	// The timeout is 2.5 s: pollWait plus the 0.7 s by which the store client lets a
-	// slow store exceed the wait. It is less than the 3 s within which a process must
-	// be up to date again after a disturbance.
-	pollWait = 1800 * time.Millisecond
+	// minPollWait and maxPollWait bound how long a poll waits for a change, and
+	// pollMargin is how much shorter the wait is than the time within which a process
+	// must be up to date after a disturbance: the 0.7 s by which the store client lets a
+	// slow store exceed the wait, and time for the next call.
+	minPollWait = 1800 * time.Millisecond
+	maxPollWait = 25 * time.Second
+	pollMargin  = 1200 * time.Millisecond
 	// initialBackoff and maxBackoff bound the delay after a failed call, which doubles
 	// with each further failure: the store charges for refused calls as well.
 	initialBackoff = 100 * time.Millisecond
@@ -50,6 +51,7 @@
 	// BatchDelay is the pause after a change, so that one poll returns changes
 	// that follow each other closely.
 	BatchDelay time.Duration
+	PollWait   time.Duration      // How long a poll waits for a change; see PollWait.
 	Restores   prometheus.Counter // Counts the times that the store came back from an older copy.
 
 	backoff   time.Duration
@@ -57,6 +59,14 @@
 	storeLost bool   // The store is unavailable: StoreLost was posted and StoreRegained not yet.
 }
 
+// PollWait returns how long polls wait for a change if a process must be up to date
+// again within the given time after a disturbance. A lost response is noticed only when
+// its poll times out, since the connection stays open and delivers nothing. A longer
+// wait means fewer calls to the store, each of which is charged for.
+func PollWait(upToDateWithin time.Duration) time.Duration {
+	return min(max(minPollWait, upToDateWithin-pollMargin), maxPollWait)
+}
+
 // Run follows the table until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -98,7 +108,7 @@
 // feed waits for changes after the version and posts them. If ok is false, the
 // table must be listed again.
 func (w *Watch) feed(ctx context.Context, after uint64) (version uint64, ok bool) {
-	rows, err := w.Store.Feed(ctx, w.Table, after, pollWait)
+	rows, err := w.Store.Feed(ctx, w.Table, after, w.PollWait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		logevent.Write(w.Log, logevent.ChangeHistoryExpired, logrus.Fields{"table": w.Table, "after": after})
 		return 0, false
