Divide shared limits by the entries that run, and take turns at cold servers

Cause: entries don't count each other. The retry reserve was divided by eight entries whatever ran: 53 could save up 1,049 retries where 264 and a fifth of the requests are allowed. A cold server's limit was divided by a third of the servers, but never below one request a second an entry: 53, 71 or 330 entries that find it idle sent it that many requests in one second, where it bears 26.

Change: an agent's load report says how many entries subscribe; the highest number of late divides the reserve, the limit of cold servers and the idle connections. Where a server bears fewer requests a second than there are entries, each entry may use it in turns of 0.3 s that it draws at random, so that few have their turn together.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 package dispatch
 
 import (
+	"hash/maphash"
 	"time"
 
 	"persimmonwind.dev/policy/topology"
@@ -75,6 +76,7 @@
 type Dispatcher struct {
 	pace    ConcurrencyLimiter
 	warmUp  WarmUpLimit
+	seed    maphash.Seed // Determines in which turns the entry may use cold servers.
 	servers []*server
 	byID    map[string]*server
 	notices map[string]*notice // What servers have said of themselves, by ID.
@@ -88,7 +90,7 @@
 
 // NewDispatcher returns a dispatcher for one service.
 func NewDispatcher(warmUp WarmUpLimit) *Dispatcher {
-	return &Dispatcher{warmUp: warmUp, byID: map[string]*server{}, notices: map[string]*notice{}}
+	return &Dispatcher{warmUp: warmUp, seed: maphash.MakeSeed(), byID: map[string]*server{}, notices: map[string]*notice{}}
 }
 
 // Configure sets the servers that may get new work, the service's engine model,
@@ -114,6 +116,9 @@
 	d.servers, d.byID = servers, byID
 }
 
+// SetEntries sets the reported number of running entries.
+func (d *Dispatcher) SetEntries(count int) { d.warmUp.Entries = max(d.warmUp.Entries, count) }
+
 // ObserveGap records the time between two events of a stream at the server with
 // this ID.
 func (d *Dispatcher) ObserveGap(id string, gap time.Duration, now time.Time) {
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -126,7 +126,7 @@
 	if now.Before(s.busyUntil) || now.Before(s.pausedUntil()) || s.closed && s.fresh(now) || s.health.excluded(now) {
 		return false
 	}
-	if s.silent && s.ownRequests > 0 || !s.sends.allows(d.warmUp, now) {
+	if s.silent && s.ownRequests > 0 || !s.sends.allows(d.warmUp, now) || !d.warmUp.hasTurn(d.seed, s.candidate.ID, now) {
 		return false
 	}
 	if d.pace.engine != nil && !s.fresh(now) {
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -42,6 +42,14 @@
 	return Budget{tokens: maxTokens, tokenRatio: tokenRatio, maxTokens: maxTokens}
 }
 
+// Resize returns the budget with another greatest number of retries saved up. A budget
+// that grows is filled by as many tokens.
+func (b Budget) Resize(maxTokens float64) Budget {
+	b.tokens = min(maxTokens, b.tokens+max(0, maxTokens-b.maxTokens))
+	b.maxTokens = maxTokens
+	return b
+}
+
 // Deposit returns the budget after one new request, which adds tokenRatio tokens.
 func (b Budget) Deposit() Budget {
 	b.tokens = min(b.maxTokens, b.tokens+b.tokenRatio)
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -81,3 +81,30 @@
 		}
 	})
 }
+
+func TestRetriesOfManyEntries(t *testing.T) {
+	Convey("However many entries run, what they save up together stays within the deployment's reserve and ratio", t, func() {
+		const reserve, ratio, requestsInWindow = 158.0, 0.12, 3540.0 // 354 requests a second for 10 s; 0.6 of the platform's limits.
+		for _, entries := range []int{8, 53, 71, 330} {
+			retries := 0
+			for range entries {
+				budget := NewBudgetWith(ratio, 1).Resize(max(1, reserve/float64(entries)))
+				for range int(requestsInWindow) / entries {
+					budget = budget.Deposit()
+				}
+				for ok := true; ok; {
+					if budget, ok = budget.Withdraw(); ok {
+						retries++
+					}
+				}
+			}
+			So(retries, ShouldBeLessThanOrEqualTo, reserve+ratio*requestsInWindow)
+		}
+	})
+	Convey("A budget that shrinks keeps at most its new maximum, and one that grows is filled by the difference", t, func() {
+		budget := NewBudgetWith(0.1, 10).Resize(2)
+		So(budget.tokens, ShouldEqual, 2)
+		budget, _ = budget.Withdraw()
+		So(budget.Resize(5).tokens, ShouldEqual, 4)
+	})
+}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -231,7 +231,7 @@
 func (c *call) send(ctx context.Context, service string, server topology.Candidate) (dispatch.Outcome, *result.Error) {
 	conn, err := c.gateway.pool.Get(ctx, upstream.Target{
 		Address: server.Address, NonRepeatable: !c.route.Repeatable(),
-		MaxIdle: c.snapshot.Service(service).MaxConnections / (2 * assumedEntryCount),
+		MaxIdle: c.snapshot.Service(service).MaxConnections / (2 * c.gateway.assumedEntries()),
 	})
 	if err != nil {
 		return dispatch.Unreachable, result.Errorf(result.NoBackendServer, "%v", err)
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -28,6 +28,7 @@
 	snapshot     *topology.Snapshot
 	byService    map[string]*dispatcher
 	nextTicketID uint64
+	entries      int // Number of running entries; 0 while unknown.
 }
 
 // dispatcher is the dispatcher of one service with the requests that wait for it.
@@ -56,6 +57,7 @@
 		}
 	}
 	for name, dispatcher := range d.byService {
+		dispatcher.SetEntries(d.entries)
 		dispatcher.Configure(snapshot.Candidates(name), snapshot.Service(name), targets[name], time.Now())
 		dispatcher.resolveWaiting()
 	}
@@ -76,6 +78,16 @@
 	return shortest
 }
 
+// setEntries sets the reported number of running entries.
+func (d *dispatchers) setEntries(count int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = count
+	for _, dispatcher := range d.byService {
+		dispatcher.SetEntries(count)
+	}
+}
+
 // acquire returns the dispatcher's decision about the ticket, which is never Wait. If
 // the ticket is queued, acquire calls onWait and blocks until the ticket is decided;
 // it cancels the ticket if ctx ends before.
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -51,8 +51,10 @@
 	log         *logrus.Entry
 	metrics     *Metrics
 
-	mu     sync.Mutex
-	budget retry.Budget // Bounds the retries of this entry.
+	mu           sync.Mutex
+	budget       retry.Budget // Bounds the retries of this entry.
+	entries      dispatch.EntryCount
+	retryReserve float64 // Retries that all entries together may save up.
 }
 
 // New returns a gateway without a snapshot, which refuses all requests until Install
@@ -62,12 +64,28 @@
 		dispatchers: newDispatchers(dispatch.WarmUpLimit{
 			OverloadFactor: settings.WarmUpOvershoot, ExtraPerSecond: settings.WarmUpAllowance, Entries: assumedEntryCount,
 		}, log),
-		pool:    upstream.NewPool(upstream.Dial),
-		log:     log,
-		metrics: metrics,
-		budget: retry.NewBudgetWith(
-			settings.RetryRatio*retryBudgetShare,
-			max(1, settings.RetryReserve*retryBudgetShare/assumedEntryCount)),
+		pool:         upstream.NewPool(upstream.Dial),
+		log:          log,
+		metrics:      metrics,
+		retryReserve: settings.RetryReserve * retryBudgetShare,
+		budget:       retry.NewBudgetWith(settings.RetryRatio*retryBudgetShare, 1),
+	}
+}
+
+// setEntries divides the limits that all entries share by the number of entries, which
+// agents report.
+func (g *Gateway) setEntries(reported int) {
+	g.mu.Lock()
+	before := g.entries.Value()
+	g.entries.Observe(reported, time.Now())
+	count := g.entries.Value()
+	if count != before {
+		g.budget = g.budget.Resize(max(1, g.retryReserve/float64(max(count, assumedEntryCount))))
+	}
+	g.mu.Unlock()
+	if count != before {
+		g.dispatchers.setEntries(count)
+		logevent.Write(g.log, logevent.EntriesCounted, logrus.Fields{"entries": count, "before": before})
 	}
 }
 
@@ -83,8 +101,16 @@
 	return snapshot != nil && snapshot.Ready
 }
 
+// assumedEntries returns the number of entries among which a limit is divided.
+func (g *Gateway) assumedEntries() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.entries.Value(), assumedEntryCount)
+}
+
 // ReportLoad records the load of a backend server as reported by its agent.
 func (g *Gateway) ReportLoad(report loadreport.Report) {
+	g.setEntries(report.Entries)
 	snapshot := g.snapshot.Load()
 	if snapshot == nil || snapshot.Config == nil {
 		return
--- a/server/loadreport/loadreport_test.go
+++ b/server/loadreport/loadreport_test.go
@@ -40,7 +40,7 @@
 		Convey("it gets the server's load", func() {
 			select {
 			case report := <-reports:
-				So(report, ShouldResemble, Report{Server: "s:1", Open: true, Queued: 1, Active: 2, Pace: 3})
+				So(report, ShouldResemble, Report{Server: "s:1", Open: true, Queued: 1, Active: 2, Pace: 3, Entries: 1})
 			case <-time.After(5 * time.Second):
 				t.Error("no report")
 			}
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -20,6 +20,7 @@
 	AttemptFailed       = define(322, "attempt_failed", logrus.InfoLevel, "A backend server did not answer a request completely; the field again tells whether another attempt follows.")
 	CallerDisconnected  = define(324, "caller_gone", logrus.DebugLevel, "The caller disconnected while its answer was being written.")
 	HeaderRejected      = define(323, "header_rejected", logrus.WarnLevel, "A header of a request can't be decoded; the request is handled without it.")
+	EntriesCounted      = define(328, "entries_counted", logrus.InfoLevel, "The number of running entries has changed; limits that all entries share are divided anew.")
 	ServerSaysLeaving   = define(326, "server_says_leaving", logrus.InfoLevel, "A backend server said in an answer that it stops soon; it gets no further requests from this entry.")
 	PauseRequested      = define(327, "pause_requested", logrus.InfoLevel, "A backend server refused a request and asked to get none for a while; it gets none from this entry until then.")
 	BackendServerSilent = define(325, "server_silent", logrus.WarnLevel, "A backend server sends no events while others of its group do; it gets no requests for a while, and its streams that another server may continue are migrated.")
