Give each group of a service its own gate, limit and passes

Cause: an entry treated a service as one group: one gate, one majority of open ranks, one slope of the pass and one bound on what is in flight. With three groups of 24, a closed or slow one was averaged away: passes of 50 and 100 ms gave one bound for both, and a closed third let requests through to its ranks until each had refused.

Change: the load report names the server's group. Gate, limit, passes and activity belong to the group; a request goes to an open group drawn by free capacity, then to the least utilized ones, and within it to a server as before. Engines without a report come last. A service with one group, and a plain service, behave as before.

--- a/policy/dispatch/choice.go
+++ b/policy/dispatch/choice.go
@@ -12,24 +12,24 @@
 // loaded of two random ones.
 const sampledServers = 2
 
-// choose returns the server to which the ticket is sent: the least loaded of a
-// random sample of the servers with room, or nil if none has room. At a plain
+// choose returns the server of the group to which the ticket is sent: the least loaded
+// of a random sample of the servers with room, or nil if none has room. At a plain
 // service all servers with room are compared. Slow servers, and servers that may
 // have left the service, are used only when no other has room.
-func (d *Dispatcher) choose(ticket Ticket, random float64, now time.Time) *server {
-	usableServers := d.usableServers(ticket, now)
-	if d.pace.engine == nil {
+func (d *Dispatcher) choose(ticket Ticket, g *group, random float64, now time.Time) *server {
+	usableServers := d.usableServers(ticket, g, now)
+	if d.engine == nil {
 		return leastLoaded(usableServers, len(usableServers), random, now)
 	}
 	return leastLoaded(usableServers, sampledServers, random, now)
 }
 
-// usableServers returns the servers with room that have the best tier (see
-// server.tier) among all servers with room, except the one that the ticket avoids.
-func (d *Dispatcher) usableServers(ticket Ticket, now time.Time) []*server {
+// usableServers returns the group's servers with room that have the best tier (see
+// server.tier) among those with room, except the one that the ticket avoids.
+func (d *Dispatcher) usableServers(ticket Ticket, g *group, now time.Time) []*server {
 	var usableServers []*server
 	best := 0
-	for _, candidate := range d.servers {
+	for _, candidate := range g.servers {
 		if !d.hasRoom(candidate, now) || candidate.candidate.ID == ticket.Avoid && len(d.servers) > 1 {
 			continue
 		}
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -8,7 +8,8 @@
 // an engine group: expert-parallel ranks that execute each forward pass together.
 // A pass reads waiting prompts and yields the next event of every stream in the
 // group, so passes that take longer delay all streams. A group is closed while it
-// takes no work, for example because a rank is missing.
+// takes no work, for example because a rank is missing. A service may have several
+// groups; a request goes to the least utilized one that is open.
 package dispatch
 
 import (
@@ -74,30 +75,26 @@
 
 // Dispatcher holds the state of one service at one entry.
 type Dispatcher struct {
-	pace    ConcurrencyLimiter
+	engine  *topology.Engine // Model of the service's engines; nil for a plain service.
 	warmUp  WarmUpLimit
 	seed    maphash.Seed // Determines in which turns the entry may use cold servers.
 	servers []*server
+	groups  map[string]*group // By name.
 	byID    map[string]*server
 	notices map[string]*notice // What servers have said of themselves, by ID.
 	queue   []Ticket
 	freedAt []time.Time // When slots became free, for the times within rateWindow.
-	limit   int         // Concurrency limit of all servers together; 0 for none.
-	gate    gate
-
-	groupActiveSince time.Time // Since when the group's servers have sent events without a long break; zero while none sends any.
 }
 
 // NewDispatcher returns a dispatcher for one service.
 func NewDispatcher(warmUp WarmUpLimit) *Dispatcher {
-	return &Dispatcher{warmUp: warmUp, seed: maphash.MakeSeed(), byID: map[string]*server{}, notices: map[string]*notice{}}
+	return &Dispatcher{warmUp: warmUp, seed: maphash.MakeSeed(), byID: map[string]*server{}, groups: map[string]*group{}, notices: map[string]*notice{}}
 }
 
 // Configure sets the servers that may get new work, the service's engine model,
 // which is nil for plain services, and the longest allowed pause between events.
 func (d *Dispatcher) Configure(candidates []topology.Candidate, service topology.Service, pauseGoal time.Duration, now time.Time) {
 	d.forgetNotices(now)
-	d.pace.configure(service.Engine, pauseGoal)
 	d.warmUp.PerSecond = service.WarmUpPerSecond
 	d.warmUp.raiseEntries(len(candidates))
 	servers := make([]*server, 0, len(candidates))
@@ -114,6 +111,7 @@
 		}
 	}
 	d.servers, d.byID = servers, byID
+	d.regroup(service.Engine, pauseGoal)
 }
 
 // SetEntries sets the reported number of running entries.
@@ -123,7 +121,9 @@
 // this ID.
 func (d *Dispatcher) ObserveGap(id string, gap time.Duration, now time.Time) {
 	d.ObserveEvent(id, now)
-	d.pace.observe(gap, d.inFlight(now), now)
+	if server := d.byID[id]; server != nil && server.group != nil {
+		server.group.pace.observe(gap, server.group.inFlight(now), now)
+	}
 }
 
 // Submit decides about a new ticket and queues it if the verdict is Wait. random
@@ -149,7 +149,7 @@
 			return decision
 		}
 	}
-	if d.gate.closed {
+	if d.allClosed() {
 		// The wait can't be predicted while the group is closed, so the queue is
 		// bounded by the requests that the group can take when it opens.
 		if len(d.queue) >= d.closedQueueLimit() {
@@ -185,7 +185,7 @@
 			}
 			// A ticket that has already found the group closed does not block those
 			// behind it: they may probe the group.
-			blocked = !(d.gate.closed && ticket.FoundClosed)
+			blocked = !(ticket.FoundClosed && d.anyClosed())
 		}
 		if pause := d.pauseOfAll(now); pause > maxPredictedWait || pause > 0 && now.Add(pause).After(ticket.Deadline) {
 			decision := d.newDecision(ticket, now)
@@ -198,7 +198,7 @@
 			decision := d.newDecision(ticket, now)
 			decision.Verdict, decision.Reason = Refuse, "waited_too_long"
 			decision.RetryAfter = max(minRetryAfter, d.predictedWait(ticket, now))
-			if d.gate.closed {
+			if d.allClosed() {
 				decision.Reason, decision.RetryAfter = "group_closed", closedRetryAfter
 			}
 			decisions = append(decisions, decision)
@@ -210,37 +210,57 @@
 	return decisions
 }
 
-// Accepted records that a server has begun to answer a request.
-func (d *Dispatcher) Accepted() { d.gate.accepted() }
+// Accepted records that the server with this ID has begun to answer a request.
+func (d *Dispatcher) Accepted(id string) {
+	if server := d.byID[id]; server != nil && server.group != nil {
+		server.group.gate.accepted()
+	}
+}
 
 // tryDispatch chooses a server for the ticket and takes a slot there. It returns
 // false if the ticket can't be sent now.
 func (d *Dispatcher) tryDispatch(ticket Ticket, random float64, now time.Time) (Decision, bool) {
-	if !d.gate.allows(d.reportedGroupState(now), now) || d.gate.closed && ticket.FoundClosed {
-		return Decision{}, false
+	groups, random := d.groupsInOrder(random, now)
+	for _, g := range groups {
+		if !d.mayDispatch(ticket, g, now) {
+			continue
+		}
+		best := d.choose(ticket, g, random, now)
+		if best == nil {
+			continue
+		}
+		decision := d.newDecision(ticket, now)
+		decision.Verdict, decision.Server, decision.Reason = Go, best.candidate, "least_loaded"
+		decision.PredictedFirstEvent = g.pace.predictFirstEvent()
+		best.requestSent(now)
+		g.gate.recordSent()
+		return decision, true
 	}
-	total := d.inFlight(now)
-	d.limit = d.pace.limit(len(d.servers))
-	if d.limit > 0 && total >= d.limit {
-		return Decision{}, false
+	return Decision{}, false
+}
+
+// mayDispatch reports whether the group's gate and limit allow the ticket to be sent to
+// one of its servers.
+func (d *Dispatcher) mayDispatch(ticket Ticket, g *group, now time.Time) bool {
+	if !g.gate.allows(g.reportedState(now), now) || g.gate.closed && ticket.FoundClosed {
+		return false
 	}
-	if d.limit > 0 && !d.meetsSLO(ticket, now) && float64(total) >= lateCapacityShare*float64(d.limit) {
-		return Decision{}, false
+	limit := g.limit()
+	if limit <= 0 {
+		return true
 	}
-	best := d.choose(ticket, random, now)
-	if best == nil {
-		return Decision{}, false
+	total := g.inFlight(now)
+	if !d.meetsSLO(ticket, now) && float64(total) >= lateCapacityShare*float64(limit) {
+		return false
 	}
-	decision := d.newDecision(ticket, now)
-	decision.Verdict, decision.Server, decision.Reason = Go, best.candidate, "least_loaded"
-	decision.PredictedFirstEvent = d.pace.predictFirstEvent()
-	best.requestSent(now)
-	d.gate.recordSent()
-	return decision, true
+	return total < limit
 }
 
 func (d *Dispatcher) newDecision(ticket Ticket, now time.Time) Decision {
-	decision := Decision{Ticket: ticket.ID, Limit: d.limit, TotalInFlight: d.inFlight(now)}
+	decision := Decision{Ticket: ticket.ID, TotalInFlight: d.inFlight(now)}
+	for _, g := range d.groups {
+		decision.Limit += g.limit()
+	}
 	for _, server := range d.servers {
 		decision.OwnInFlight += server.ownRequests
 		if server.fresh(now) {
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -107,16 +107,16 @@
 		passAtLimit := func(servers int) time.Duration {
 			d := NewDispatcher(WarmUpLimit{Entries: 1})
 			d.Configure(candidates(servers, 12), topology.Service{Engine: engine()}, 120*time.Millisecond, start)
-			baseSeconds := d.pace.baseSeconds()
+			baseSeconds := d.groups[""].pace.baseSeconds()
 			requests := servers * 5
-			slope := 4 * d.pace.evenSlope(servers) // So that the pause goal limits, not the slots.
+			slope := 4 * d.groups[""].pace.evenSlope(servers) // So that the pause goal limits, not the slots.
 			now := start
 			for range 100 {
 				now = now.Add(10 * time.Millisecond)
 				d.setInFlight(requests, now)
 				d.ObserveGap("s0", time.Duration((baseSeconds+slope*float64(requests))*float64(time.Second)), now)
 			}
-			pass := baseSeconds + slope*float64(d.pace.limit(servers))
+			pass := baseSeconds + slope*float64(d.groups[""].pace.limit(servers))
 			return time.Duration(pass * float64(time.Second))
 		}
 		So(passAtLimit(12), ShouldAlmostEqual, 102*time.Millisecond, 2*time.Millisecond)
@@ -253,7 +253,7 @@
 			So(d.DispatchQueued(noRandom, later.Add(closedProbeInterval)), ShouldBeEmpty)
 
 			Convey("and all others are sent when it is", func() {
-				d.Accepted()
+				d.Accepted("s0")
 				So(d.DispatchQueued(noRandom, later), ShouldHaveLength, 9)
 			})
 			Convey("and a request that has probed does not probe again", func() {
@@ -330,7 +330,7 @@
 				d.setInFlight(40, now)
 				d.ObserveGap("s0", 99*time.Millisecond, now)
 			}
-			So(d.pace.limit(12), ShouldBeGreaterThan, 40)
+			So(d.groups[""].pace.limit(12), ShouldBeGreaterThan, 40)
 		})
 	})
 }
--- a/policy/dispatch/notices.go
+++ b/policy/dispatch/notices.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"persimmonwind.dev/policy/topology"
@@ -59,6 +60,9 @@
 		}
 	}
 	d.servers = remaining
+	if leaving := d.byID[candidate.ID]; leaving != nil && leaving.notice == known {
+		leaving.group.servers = slices.DeleteFunc(leaving.group.servers, func(s *server) bool { return s == leaving })
+	}
 	return true
 }
 
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -73,7 +73,7 @@
 func (d *Dispatcher) Done(id string, outcome Outcome, now time.Time) (closed bool) {
 	server := d.byID[id]
 	if server == nil {
-		return d.gate.closed // The server has been removed from the list since.
+		return d.allClosed() // The server has been removed from the list since.
 	}
 	server.ownRequests = max(0, server.ownRequests-1)
 	switch outcome {
@@ -83,8 +83,8 @@
 		server.health.succeeded()
 	case Busy:
 		server.busyUntil = now.Add(overloadBackoff)
-		if d.pace.engine != nil && 2*server.load(now) < server.candidate.Slots {
-			d.gate.refused(now)
+		if d.engine != nil && 2*server.load(now) < server.candidate.Slots {
+			server.group.gate.refused(now)
 		}
 	case Replaced:
 		server.busyUntil = now.Add(replacedBackoff)
@@ -95,7 +95,7 @@
 	case CallerLeft:
 		d.freedAt = append(d.freedAt, now)
 	}
-	return d.gate.closed
+	return server.group.gate.closed
 }
 
 // closedQueueLimit returns the number of requests that may wait at this entry for
@@ -132,17 +132,17 @@
 // firstAnswerMargin returns how long before its SLO deadline a request must be
 // sent to meet it.
 func (d *Dispatcher) firstAnswerMargin() time.Duration {
-	if d.pace.engine == nil {
+	if d.engine == nil {
 		return plainServiceMargin
 	}
-	return d.pace.passesDuration(engineMarginPasses)
+	return d.passesDuration(engineMarginPasses)
 }
 
 // timedOut reports whether the ticket has waited in the queue for as long as it
 // may.
 func (d *Dispatcher) timedOut(ticket Ticket, now time.Time) bool {
 	lateAt := ticket.SLODeadline.Add(lateGrace - d.firstAnswerMargin())
-	if d.gate.closed {
+	if d.allClosed() {
 		lateAt = ticket.Deadline // The group may open at any moment, with all its slots free.
 	}
 	return now.Sub(ticket.Arrived) > maxWait || now.After(lateAt) || !now.Before(ticket.Deadline)
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -29,6 +29,7 @@
 // server is a backend server as this entry sees it.
 type server struct {
 	candidate     topology.Candidate
+	group         *group
 	ownRequests   int       // Requests of this entry in flight.
 	otherRequests int       // Requests of other entries in flight at the time of the last load report.
 	reportAt      time.Time // When the last load report arrived.
@@ -58,6 +59,7 @@
 	Active int     // Requests that the server executes.
 	Open   bool    // The server's group takes work.
 	Pace   float64 // Slowdown relative to a normal server; over 1 for a slow one.
+	Group  string  // Name of the server's group; empty if unknown.
 }
 
 // Report records the reported load of a server.
@@ -68,58 +70,26 @@
 	}
 	server.otherRequests = max(0, report.Queued+report.Active-server.ownRequests)
 	server.closed, server.slowdown, server.reportAt = !report.Open, max(1, report.Pace), now
-	d.pace.maxSlowdown = d.maxSlowdown(now)
-}
-
-// maxSlowdown returns the slowdown of the slowest server that has requests, 1 if
-// none is slow.
-func (d *Dispatcher) maxSlowdown(now time.Time) float64 {
-	maxSlowdown := 1.0
-	for _, server := range d.servers {
-		if server.fresh(now) && server.ownRequests+server.otherRequests > 0 {
-			maxSlowdown = max(maxSlowdown, server.slowdown)
-		}
+	if report.Group != "" {
+		d.joinGroup(server, report.Group)
 	}
-	return maxSlowdown
+	server.group.pace.maxSlowdown = server.group.maxSlowdown(now)
 }
 
 // ShouldMigrateStreams reports whether resumable streams should continue at
 // another server: this one slows down its whole group, and most others would not.
 func (d *Dispatcher) ShouldMigrateStreams(id string, now time.Time) bool {
 	server := d.byID[id]
-	if server == nil || d.pace.engine == nil || !server.fresh(now) || server.slowdown < migrateThreshold {
+	if server == nil || d.engine == nil || !server.fresh(now) || server.slowdown < migrateThreshold {
 		return false
 	}
 	normal := 0
-	for _, other := range d.servers {
+	for _, other := range server.group.servers {
 		if other.fresh(now) && !other.closed && other.slowdown < slowThreshold {
 			normal++
 		}
 	}
-	return 2*normal > len(d.servers)
-}
-
-// reportedGroupState returns whether the group is open, that is, takes work,
-// according to the majority of the servers with a recent load report.
-func (d *Dispatcher) reportedGroupState(now time.Time) reportedState {
-	open, closed := 0, 0
-	for _, server := range d.servers {
-		switch {
-		case !server.fresh(now):
-		case server.closed:
-			closed++
-		default:
-			open++
-		}
-	}
-	switch {
-	case open+closed == 0:
-		return unreported
-	case open > closed:
-		return reportsOpen
-	default:
-		return reportsClosed
-	}
+	return 2*normal > len(server.group.servers)
 }
 
 func (d *Dispatcher) hasRoom(s *server, now time.Time) bool {
@@ -129,7 +99,7 @@
 	if s.silent && s.ownRequests > 0 || !s.sends.allows(d.warmUp, now) || !d.warmUp.hasTurn(d.seed, s.candidate.ID, now) {
 		return false
 	}
-	if d.pace.engine != nil && !s.fresh(now) {
+	if d.engine != nil && !s.fresh(now) {
 		return s.ownRequests < unreportedLimit
 	}
 	return s.load(now) < max(1, s.candidate.Slots)
--- a/policy/dispatch/silence.go
+++ b/policy/dispatch/silence.go
@@ -47,19 +47,18 @@
 // moment at which the group resumed. When a silent server is tried again, it gets
 // one request at a time until it sends an event.
 func (d *Dispatcher) FindSilent(now time.Time) []string {
-	if d.pace.engine == nil {
+	if d.engine == nil {
 		return nil // Calls to plain services send nothing until they end, and may take any time.
 	}
-	d.trackGroupActivity(now)
-	if d.groupActiveSince.IsZero() {
-		return nil
+	for _, g := range d.groups {
+		g.trackActivity(now)
 	}
 	var silent []string
 	for _, server := range d.servers {
-		if server.ownRequests == 0 || server.health.excluded(now) || now.Sub(server.reportAt) < silenceTimeout {
+		if server.group.activeSince.IsZero() || server.ownRequests == 0 || server.health.excluded(now) || now.Sub(server.reportAt) < silenceTimeout {
 			continue
 		}
-		if now.Sub(latest(server.lastEventAt, server.busySince, d.groupActiveSince)) >= server.silenceLimit() {
+		if now.Sub(latest(server.lastEventAt, server.busySince, server.group.activeSince)) >= server.silenceLimit() {
 			server.health.unreachable(now)
 			server.silent = true
 			silent = append(silent, server.candidate.ID)
@@ -68,19 +67,6 @@
 	return silent
 }
 
-// trackGroupActivity updates groupActiveSince: the time since which the group's
-// servers have sent events without a break of groupActiveWindow, or zero while none
-// sends any.
-func (d *Dispatcher) trackGroupActivity(now time.Time) {
-	active := slices.ContainsFunc(d.servers, func(s *server) bool { return now.Sub(s.lastEventAt) < groupActiveWindow })
-	switch {
-	case !active:
-		d.groupActiveSince = time.Time{}
-	case d.groupActiveSince.IsZero():
-		d.groupActiveSince = now
-	}
-}
-
 func latest(times ...time.Time) time.Time {
 	return slices.MaxFunc(times, time.Time.Compare)
 }
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -254,7 +254,7 @@
 		return dispatch.Busy, refusal
 	}
 	c.possibleExecutions++
-	c.gateway.dispatchers.observeAccepted(service)
+	c.gateway.dispatchers.observeAccepted(service, server.ID)
 	if decoded.HasContentEncoding || !decoded.Stamped {
 		exchange.Abort()
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "invalid answer: status %d, stamped %t, encoded %t", exchange.Response.StatusCode, decoded.Stamped, decoded.HasContentEncoding)
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -139,10 +139,9 @@
 	return closed
 }
 
-// observeAccepted records that a server of the service has accepted a request and
-// begun to answer it.
-func (d *dispatchers) observeAccepted(service string) {
-	d.withService(service, func(dispatcher *dispatcher) { dispatcher.Accepted() })
+// observeAccepted records that a server has accepted a request and begun to answer it.
+func (d *dispatchers) observeAccepted(service, server string) {
+	d.withService(service, func(dispatcher *dispatcher) { dispatcher.Accepted(server) })
 }
 
 // observeFirstEvent records that a server has sent the first event of a stream.
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -119,7 +119,7 @@
 		for _, candidate := range snapshot.Candidates(name) {
 			if candidate.Address == report.Server {
 				g.dispatchers.report(name, candidate.ID, dispatch.Report{
-					Queued: report.Queued, Active: report.Active, Open: report.Open, Pace: report.Pace,
+					Queued: report.Queued, Active: report.Active, Open: report.Open, Pace: report.Pace, Group: report.Group,
 				})
 			}
 		}
--- a/server/loadreport/loadreport.go
+++ b/server/loadreport/loadreport.go
@@ -39,7 +39,8 @@
 	Active int     // Number of requests that run at the server.
 	Pace   float64 // Slowdown relative to a normal server; above 1 for a slow one.
 
-	Entries int // Number of entries that subscribe to the agent's reports.
+	Group   string // Name of the server's group.
+	Entries int    // Number of entries that subscribe to the agent's reports.
 }
 
 // Publisher sends an agent's reports to its subscribers.
@@ -92,7 +93,7 @@
 		if !ok {
 			continue
 		}
-		p.send(Report{Server: server, Open: state.Open, Queued: state.Queued, Active: state.Active, Pace: state.Pace, Entries: len(subscribers)}, subscribers)
+		p.send(Report{Server: server, Open: state.Open, Queued: state.Queued, Active: state.Active, Pace: state.Pace, Group: state.Group, Entries: len(subscribers)}, subscribers)
 	}
 }
 
