--- a/policy/hotexperts/hotexperts.go
+++ b/policy/hotexperts/hotexperts.go
@@ -24,11 +24,15 @@
 	// a copy of an expert must save. A copy slows the passes of the whole group while it
 	// lasts, and it has a price.
 	minRelativeGain = 0.01
+	// shortCopyTime is the time of a copy up to which it is enough that the copy relieves
+	// a single rank.
+	shortCopyTime = 20 * time.Millisecond
 )
 
-// minCostGain is minRelativeGain as a share of the most loaded rank's contribution to
-// the cost. It does not depend on the cost of the other ranks: where many ranks of a
-// large group share the highest load, each of them has to be relieved.
+// minCostGain is minRelativeGain as a share of the cost. Where many ranks of a large
+// group share the highest load, each of them has to be relieved, so that short copies
+// are compared with the most loaded rank's contribution to the cost alone. The longer a
+// copy takes, the more ranks it is compared with: it slows the passes of the whole group.
 var minCostGain = 1 - math.Pow(1-minRelativeGain, loadExponent)
 
 // Shape is the size of a group and the speed of its ranks.
@@ -38,6 +42,8 @@
 	Experts   int // Number of experts in each expert set.
 	NewPerSet int // Maximum number of experts that one change may add to a rank in each expert set.
 
+	CopyTime time.Duration // Time that a rank takes to copy one expert.
+
 	// Slowness is the time that each rank takes for one unit of load, relative to a
 	// normal rank; nil means 1 for all.
 	Slowness []float64
@@ -121,16 +127,16 @@
 // half as many, and so on down to one copy. A plan with fewer copies is in force
 // sooner, and another change can follow it. If copies take little of a change's time,
 // smaller plans aren't considered.
-func DecideLeastAverageSkew(shape Shape, current Map, load [][]float64, budget int, copyTime time.Duration) Plan {
+func DecideLeastAverageSkew(shape Shape, current Map, load [][]float64, budget int) Plan {
 	best, bestCost := Plan{}, math.Inf(1)
 	for copies := budget; copies >= 1; copies /= 2 {
 		plan := Decide(shape, current, load, copies)
-		switchDelay := switchTime + time.Duration(plan.MaxCopiesPerRank)*copyTime
+		switchDelay := switchTime + time.Duration(plan.MaxCopiesPerRank)*shape.CopyTime
 		cost := plan.SkewBefore*switchDelay.Seconds() + plan.SkewAfter*max(0, recoveryWindow-switchDelay).Seconds()
 		if cost < bestCost {
 			best, bestCost = plan, cost
 		}
-		if float64(time.Duration(budget)*copyTime) < shortCopiesShare*float64(switchTime) {
+		if float64(time.Duration(budget)*shape.CopyTime) < shortCopiesShare*float64(switchTime) {
 			break
 		}
 	}
@@ -296,7 +302,17 @@
 			s.considerCopy(&best, expert, rank, slowestRank)
 		}
 	}
-	return best, best.gain > 0 && best.gain >= minCostGain*s.rankCost(slowestRank, s.rankLoads[slowestRank])
+	return best, best.gain > 0 && best.gain >= minCostGain*s.comparedCost(slowestRank)
+}
+
+// comparedCost returns the cost of which a copy must save a share.
+func (s *search) comparedCost(slowestRank int) float64 {
+	ranks := max(1, float64(s.shape.CopyTime)/float64(shortCopyTime))
+	total := 0.0
+	for rank, l := range s.rankLoads {
+		total += s.rankCost(rank, l)
+	}
+	return min(total, ranks*s.rankCost(slowestRank, s.rankLoads[slowestRank]))
 }
 
 // considerCopy considers the steps that copy the expert to the rank, into an empty
--- a/policy/hotexperts/hotexperts_test.go
+++ b/policy/hotexperts/hotexperts_test.go
@@ -76,6 +76,26 @@
 		So(Plan{Copies: 4, MaxCopiesPerRank: 1, SkewBefore: 1.3, SkewAfter: 1.2}.IsWorthwhile(costs), ShouldBeFalse)
 		So(Plan{Copies: 24, MaxCopiesPerRank: 2, SkewBefore: 3, SkewAfter: 1.3}.IsWorthwhile(costs), ShouldBeTrue)
 	})
+	Convey("The longer a copy takes, the fewer are made for the last part of the skew", t, func() {
+		copies := map[time.Duration]int{}
+		skew := map[time.Duration]float64{}
+		for _, copyTime := range []time.Duration{7 * time.Millisecond, 420 * time.Millisecond} {
+			shape := referenceShape
+			shape.CopyTime = copyTime
+			for seed := range uint64(10) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				placement, load := roundRobinMap(shape, referenceSets), randomTopicLoad(random, shape, referenceSets)
+				for range 4 {
+					plan := Decide(shape, placement, load, 2)
+					placement = plan.Map
+					copies[copyTime] += plan.Copies
+				}
+				skew[copyTime] += Skew(shape, placement, load) / 10
+			}
+		}
+		So(copies[420*time.Millisecond], ShouldBeLessThan, copies[7*time.Millisecond])
+		So(skew[420*time.Millisecond], ShouldBeLessThan, 1.15) // The users' goal.
+	})
 	Convey("An even load needs no copies", t, func() {
 		load := make([][]float64, referenceSets)
 		for set := range load {
@@ -95,8 +115,10 @@
 		for seed := range uint64(20) {
 			load := randomTopicLoad(rand.New(rand.NewPCG(seed, 3)), referenceShape, referenceSets)
 			placement := roundRobinMap(referenceShape, referenceSets)
-			fullBudget := Decide(referenceShape, placement, load, 3)
-			best := DecideLeastAverageSkew(referenceShape, placement, load, 3, copyTime)
+			shape := referenceShape
+			shape.CopyTime = copyTime
+			fullBudget := Decide(shape, placement, load, 3)
+			best := DecideLeastAverageSkew(shape, placement, load, 3)
 			if best.MaxCopiesPerRank < fullBudget.MaxCopiesPerRank {
 				fewerCopies++
 			}
@@ -111,7 +133,7 @@
 	Convey("If copies take no time, the plan uses the full budget", t, func() {
 		load := randomTopicLoad(rand.New(rand.NewPCG(1, 3)), referenceShape, referenceSets)
 		placement := roundRobinMap(referenceShape, referenceSets)
-		So(DecideLeastAverageSkew(referenceShape, placement, load, 3, 0).SkewAfter, ShouldEqual, Decide(referenceShape, placement, load, 3).SkewAfter)
+		So(DecideLeastAverageSkew(referenceShape, placement, load, 3).SkewAfter, ShouldEqual, Decide(referenceShape, placement, load, 3).SkewAfter)
 	})
 }
 
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -115,9 +115,9 @@
 	p.planConsidered = true
 	shape := hotexperts.Shape{
 		Ranks: state.Size, Places: engineModel.Places, Experts: engineModel.Experts, NewPerSet: engineModel.NewPerSet,
-		Slowness: state.Slowness,
+		CopyTime: engineModel.CopyTime(), Slowness: state.Slowness,
 	}
-	plan := hotexperts.DecideLeastAverageSkew(shape, state.Current, p.demand.Load(), copyBudget(engineModel), engineModel.CopyTime())
+	plan := hotexperts.DecideLeastAverageSkew(shape, state.Current, p.demand.Load(), copyBudget(engineModel))
 	p.metrics.skew.Set(plan.SkewBefore)
 	if !plan.IsWorthwhile(hotexperts.Costs{CopyTime: engineModel.CopyTime(), ExpertTimeShare: expertPassShare, Occupancy: state.slotUtilization(engineModel)}) {
 		return
