Count all ranks of a large group anew before the plan that follows a jump

Cause: the batches of a large group are counted in turn, three of fifteen a round, so that after a jump of demand most counts are from before it.

Change: if no change was in progress for half a second, the plan waits (0.35 s at most) for two rounds in which all batches are counted, and starts its forecast from the second. Not in groups that are called directly: their counts are 0.1 to 0.2 s old.

--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -113,6 +113,8 @@
 	Epoch         int64
 	Size          int           // Number of ranks in the group.
 	Current       mapswitch.Map // The map in use; nil while it is unknown.
+	IdleSince     time.Time     // When the last change ended, if none is in progress.
+	IsRelayed     bool          // The ranks are read in batches, through relays.
 	MustReadLists bool          // The expert lists of the ranks must be read.
 
 	Slowness []float64 // Time of each rank for one unit of load, relative to a normal rank, as reported.
@@ -152,7 +154,7 @@
 	ctx, c.stop = context.WithCancel(ctx)
 	defer c.stop()
 	c.loop = loop.New(stepCollectingOrders, func(s mapswitch.State) view {
-		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, MustReadLists: s.NeedsLists(), Slowness: s.Slowness(), Requests: s.Requests()}
+		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IdleSince: s.PhaseStartedAt, IsRelayed: usesRelays(s.Size), MustReadLists: s.NeedsLists(), Slowness: s.Slowness(), Requests: s.Requests()}
 	}, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -42,23 +42,31 @@
 	engineModel func() *topology.Engine
 	log         *logrus.Entry
 	group       string
-	gains       chan []byte // Queue of packed count increases that the forecast does not include yet.
+	gains       chan countGains // Queue of count increases that the forecast does not include yet.
+	recount     *recount
 	metrics     *Metrics
 
 	demand         *hotexperts.Demand // Forecast of the demand; nil before the first gains.
 	observedAt     time.Time          // When the latest gains were added to the forecast.
 	lastPostedAt   time.Time          // When the latest plan was posted to the control loop.
 	planConsidered bool               // A plan was considered for the current forecast.
+	recounted      time.Time          // When the forecast was last made from a recount; zero if it is not.
+}
+
+// countGains is the increase of the expert counts of one or more ranks.
+type countGains struct {
+	packed  []byte // Encoded by hotexperts.PackCounts.
+	recount int    // Number of the recount to which the increase belongs; 0 for none.
 }
 
 func newPlanner(engineModel func() *topology.Engine, group string, log *logrus.Entry, metrics *Metrics) *planner {
 	const queued = 256 // Gains of a few rounds of reads in a large group.
-	return &planner{engineModel: engineModel, group: group, log: log, gains: make(chan []byte, queued), metrics: metrics}
+	return &planner{engineModel: engineModel, group: group, log: log, gains: make(chan countGains, queued), recount: &recount{}, metrics: metrics}
 }
 
 // enqueue passes the gains of one or more ranks to the planner. It drops them if the
 // queue is full, since the gains of other ranks show the same demand.
-func (p *planner) enqueue(gains []byte) {
+func (p *planner) enqueue(gains countGains) {
 	select {
 	case p.gains <- gains:
 	default:
@@ -82,12 +90,12 @@
 }
 
 // applyGains updates the demand forecast with the gains of one or more ranks.
-func (p *planner) applyGains(gains []byte) {
+func (p *planner) applyGains(gains countGains) {
 	engineModel := p.engineModel()
 	if engineModel == nil {
 		return
 	}
-	counts, err := hotexperts.UnpackCounts(gains)
+	counts, err := hotexperts.UnpackCounts(gains.packed)
 	if err != nil {
 		logevent.Write(p.log, logevent.ExpertCountsUnreadable, logrus.Fields{"group": p.group, "error": err.Error()})
 		return
@@ -96,6 +104,11 @@
 		p.demand, p.observedAt = hotexperts.NewDemand(engineModel.Sets, engineModel.Experts), time.Now()
 	}
 	now := time.Now()
+	if gains.recount != 0 && p.recount.arrived(gains.recount) {
+		// What was counted before mixes the demand before and after the jump.
+		p.demand = hotexperts.NewDemand(engineModel.Sets, engineModel.Experts)
+		p.recounted = now
+	}
 	if p.demand.Observe(counts, now.Sub(p.observedAt)) {
 		p.observedAt, p.planConsidered = now, false
 	}
@@ -112,6 +125,9 @@
 	if p.planConsidered || p.demand.Choices() < minChoices || time.Since(p.lastPostedAt) < planHandoverTime {
 		return
 	}
+	if p.recount.isRunning(time.Now()) {
+		return
+	}
 	p.planConsidered = true
 	shape := hotexperts.Shape{
 		Ranks: state.Size, Places: engineModel.Places, Experts: engineModel.Experts, NewPerSet: engineModel.NewPerSet,
@@ -122,6 +138,12 @@
 	if !plan.IsWorthwhile(hotexperts.Costs{CopyTime: engineModel.CopyTime(), ExpertTimeShare: expertPassShare, Occupancy: state.slotUtilization(engineModel)}) {
 		return
 	}
+	if state.IsRelayed && time.Since(state.IdleSince) > settledTime && time.Since(p.recounted) > recountMaxAge {
+		// The map has fitted the demand, which has just jumped: the counts of most ranks
+		// are still from before.
+		p.recount.start(time.Now())
+		return
+	}
 	p.lastPostedAt = time.Now()
 	p.metrics.copies.Add(float64(plan.Copies))
 	logevent.Write(p.log, logevent.MapPlanned, logrus.Fields{
--- a/server/mapcontrol/reads.go
+++ b/server/mapcontrol/reads.go
@@ -28,21 +28,32 @@
 		if countsDue {
 			lastCountsReadAt = time.Now()
 		}
+		recountAll, recountNumber := false, 0
+		if round.isRelayed {
+			recountAll, recountNumber = c.planner.recount.nextRound(len(round.calls))
+		}
 		calls := len(round.calls)
 		for i, call := range round.calls {
-			readCounts := countsDue && (i+calls-firstCounted%calls)%calls < round.countedCalls
-			go call(ctx, current.MustReadLists, readCounts)
+			readCounts := recountAll || countsDue && (i+calls-firstCounted%calls)%calls < round.countedCalls
+			go call(ctx, readOptions{lists: current.MustReadLists, counts: readCounts, recount: recountNumber})
 		}
-		if countsDue && calls > 0 {
+		if countsDue && !recountAll && calls > 0 {
 			firstCounted = (firstCounted + round.countedCalls) % calls
 		}
 		wait.For(ctx, interval)
 	}
 }
 
+// readOptions select what is read besides the states of ranks.
+type readOptions struct {
+	lists   bool
+	counts  bool
+	recount int // Number of the recount to which the counts belong; 0 for none.
+}
+
 // readRound is a round of calls that read members directly or in batches.
 type readRound struct {
-	calls          []func(ctx context.Context, readLists, readCounts bool)
+	calls          []func(ctx context.Context, options readOptions)
 	isRelayed      bool          // The calls go to relays, which the orders to prepare a map keep busy.
 	countedCalls   int           // Number of calls that also read counts.
 	changeInterval time.Duration // Interval between rounds while a change is in progress.
@@ -53,8 +64,8 @@
 	if !usesRelays(len(members)) {
 		round := readRound{countedCalls: countedRanksPerRound, changeInterval: time.Duration(len(members)) * changeReadIntervalPerRank}
 		for _, member := range members {
-			round.calls = append(round.calls, func(ctx context.Context, readLists, readCounts bool) {
-				c.read(ctx, member, readLists, readCounts)
+			round.calls = append(round.calls, func(ctx context.Context, options readOptions) {
+				c.read(ctx, member, options.lists, options.counts)
 			})
 		}
 		return round
@@ -62,8 +73,8 @@
 	batches := relayBatches(members)
 	round := readRound{isRelayed: true, countedCalls: countedBatchesPerRound, changeInterval: time.Duration(len(batches)) * changeReadIntervalPerBatch}
 	for _, batch := range batches {
-		round.calls = append(round.calls, func(ctx context.Context, readLists, readCounts bool) {
-			c.readThroughRelay(ctx, batch, readLists, readCounts)
+		round.calls = append(round.calls, func(ctx context.Context, options readOptions) {
+			c.readThroughRelay(ctx, batch, options)
 		})
 	}
 	return round
@@ -98,7 +109,7 @@
 	}
 	c.recordReport(member, mapswitch.RankRead{State: reply.State, Lists: reply.Lists, RequestedAt: requestedAt, AgentUnreachable: isDirect})
 	if reply.Gains != nil {
-		c.planner.enqueue(reply.Gains)
+		c.planner.enqueue(countGains{packed: reply.Gains})
 	}
 }
 
--- a/server/mapcontrol/relays.go
+++ b/server/mapcontrol/relays.go
@@ -108,13 +108,13 @@
 
 // readThroughRelay reads the ranks of a batch through a relay. Ranks that the relay
 // can't reach are read directly.
-func (c *coordinator) readThroughRelay(ctx context.Context, batch []Member, readLists, readCounts bool) {
+func (c *coordinator) readThroughRelay(ctx context.Context, batch []Member, options readOptions) {
 	requestedAt := time.Now()
-	args := RelayReadArgs{ReadArgs: ReadArgs{Caller: c.caller(), Counts: readCounts, Lists: readLists}, Agents: agentsOf(batch)}
+	args := RelayReadArgs{ReadArgs: ReadArgs{Caller: c.caller(), Counts: options.counts, Lists: options.lists}, Agents: agentsOf(batch)}
 	var reply RelayReadReply
 	if err := c.callRelay(ctx, batch, callTimeout, methodRelayRead, args, &reply); err != nil || len(reply.Reads) != len(batch) {
 		if errors.Is(err, errNoRelay) {
-			c.readUnreached(ctx, batch, readLists)
+			c.readUnreached(ctx, batch, options.lists)
 		}
 		return // The next round uses another relay.
 	}
@@ -136,9 +136,9 @@
 		c.loop.Post(mapswitch.Batch{Events: events})
 	}
 	if reply.Gains != nil {
-		c.planner.enqueue(reply.Gains)
+		c.planner.enqueue(countGains{packed: reply.Gains, recount: options.recount})
 	}
-	c.readUnreached(ctx, unreached, readLists)
+	c.readUnreached(ctx, unreached, options.lists)
 }
 
 // readUnreached reads ranks directly whose agents a relay did not reach.
