Model stopped relays and batched reports in the fuzz of map changes

A relay that stops with an order in hand passes it on when it wakes, after the coordinator has sent the order directly; reports of a batch are one event.

--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -345,6 +345,13 @@
 // read reads all ranks through their agents, which reject a superseded caller,
 // or from the engine itself if the agent is unreachable.
 func (n *lossyNetwork) read(t *rapid.T, c *modelCoordinator, now time.Time) {
+	var batch []reduce.Event // Reports that a relay returns together.
+	defer func() {
+		if len(batch) > 0 {
+			c.handle(Batch{Events: batch}, now)
+		}
+	}()
+	relayed := rapid.Bool().Draw(t, "relayed")
 	for rank := range n.group.ranks {
 		unreachable := rapid.IntRange(0, 4).Draw(t, "agent unreachable") == 0
 		if !unreachable && c.state.Fence < n.fences[rank] {
@@ -365,6 +372,10 @@
 			c.delayedReports = append(c.delayedReports, read)
 			continue
 		}
+		if relayed {
+			batch = append(batch, read)
+			continue
+		}
 		c.handle(read, now)
 	}
 }
@@ -386,10 +397,16 @@
 			// directly to the engine if the agent is unreachable.
 			continue
 		}
-		switch rapid.IntRange(0, 4).Draw(t, "way") {
+		delayed := delayedOrder{rank: send.Rank, order: n.group.expand(send)}
+		switch rapid.IntRange(0, 5).Draw(t, "way") {
 		case 0:
-			n.delayed = append(n.delayed, delayedOrder{rank: send.Rank, order: n.group.expand(send)})
+			n.delayed = append(n.delayed, delayed)
 		case 1: // Lost.
+		case 2:
+			// A relay has stopped with the order in hand and passes it on when it wakes;
+			// meanwhile the coordinator sends the order directly.
+			n.delayed = append(n.delayed, delayed)
+			fallthrough
 		default:
 			n.group.apply(send.Rank, n.group.expand(send))
 			if !fenced && send.SenderRank == send.Rank {
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -109,8 +109,7 @@
 		case <-ctx.Done():
 			return
 		}
-		sinceLastCall, maxSeenFence := a.rank.sinceLastCall()
-		if sinceLastCall < coordinatorTimeout || time.Now().Before(notBefore) {
+		if silence, _ := a.rank.sinceLastCall(); silence < coordinatorTimeout || time.Now().Before(notBefore) {
 			continue
 		}
 		state, err := a.Engine.Report(ctx)
@@ -118,25 +117,37 @@
 			continue
 		}
 		a.rank.observeGroup(state)
-		sinceLastCall, maxSeenFence = a.rank.sinceLastCall()
-		if sinceLastCall < coordinatorTimeout+time.Duration(state.Rank)*rankStagger {
+		silence, maxSeenFence := a.rank.sinceLastCall()
+		if silence < coordinatorTimeout+time.Duration(state.Rank)*rankStagger {
 			continue
 		}
-		fence, obsolete, err := acquireLease(ctx, a.Store, state.Group, a.InstanceName, maxSeenFence)
-		if err != nil {
+		if !a.acquireAndCoordinate(ctx, state, silence, maxSeenFence) {
 			notBefore = time.Now().Add(leaseRetryInterval)
-			if !errors.Is(err, errLeaseLost) {
-				logevent.Write(a.Log, logevent.LeaseFailed, logrus.Fields{"group": state.Group, "silence_ms": sinceLastCall.Milliseconds(), "error": err.Error()})
-			}
-			continue
 		}
-		logevent.Write(a.Log, logevent.LeaseAcquired, logrus.Fields{"group": state.Group, "fence": fence, "silence_ms": sinceLastCall.Milliseconds()})
-		go a.removeLeases(ctx, state.Group, obsolete)
-		a.coordinate(ctx, state, fence)
-		logevent.Write(a.Log, logevent.LeaseEnded, logrus.Fields{"group": state.Group, "fence": fence})
 	}
 }
 
+// acquireAndCoordinate acquires the group's lease and coordinates the group until ctx
+// ends or a newer coordinator has called an agent. It returns false if it did not acquire
+// the lease. silence is the time since a coordinator last called.
+func (a *Agent) acquireAndCoordinate(ctx context.Context, state topology.RankState, silence time.Duration, maxSeenFence uint64) bool {
+	fields := logrus.Fields{"group": state.Group, "silence_ms": silence.Milliseconds()}
+	fence, obsolete, err := acquireLease(ctx, a.Store, state.Group, a.InstanceName, maxSeenFence)
+	if err != nil {
+		if !errors.Is(err, errLeaseLost) {
+			fields["error"] = err.Error()
+			logevent.Write(a.Log, logevent.LeaseFailed, fields)
+		}
+		return false
+	}
+	fields["fence"] = fence
+	logevent.Write(a.Log, logevent.LeaseAcquired, fields)
+	go a.removeLeases(ctx, state.Group, obsolete)
+	a.coordinate(ctx, state, fence)
+	logevent.Write(a.Log, logevent.LeaseEnded, logrus.Fields{"group": state.Group, "fence": fence})
+	return true
+}
+
 // removeLeases removes the rows of earlier acquisitions. If that fails, the next holder
 // of the lease removes them.
 func (a *Agent) removeLeases(ctx context.Context, group string, obsolete []platform.Row) {
