--- a/policy/mapswitch/hold.go
+++ b/policy/mapswitch/hold.go
@@ -148,6 +148,16 @@
 	}
 }
 
+// HoldRanks returns the rank that is next ordered to wait before a pass, and the rank
+// whose agent sends that order. Both have to answer at once: the group may stall until
+// they have.
+func (s State) HoldRanks() (holder, sender int) {
+	if s.Size == 0 {
+		return s.ownRank, s.ownRank
+	}
+	return s.nextHoldRanks()
+}
+
 // allReadRecently reports whether every rank has been read recently, and since
 // the sender of a hold last failed to reply in time. A rank on a stopped machine cannot
 // be armed, and the group would stall until that machine runs again.
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -115,6 +115,7 @@
 	Current       mapswitch.Map // The map in use; nil while it is unknown.
 	IdleSince     time.Time     // When the last change ended, if none is in progress.
 	IsRelayed     bool          // The ranks are read in batches, through relays.
+	HoldRanks     [2]int        // The ranks that take part in the next hold, besides the coordinator's.
 	MustReadLists bool          // The expert lists of the ranks must be read.
 
 	Slowness []float64 // Time of each rank for one unit of load, relative to a normal rank, as reported.
@@ -154,7 +155,8 @@
 	ctx, c.stop = context.WithCancel(ctx)
 	defer c.stop()
 	c.loop = loop.New(stepCollectingOrders, func(s mapswitch.State) view {
-		return view{Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IdleSince: s.PhaseStartedAt, IsRelayed: usesRelays(s.Size), MustReadLists: s.NeedsLists(), Slowness: s.Slowness(), Requests: s.Requests()}
+		holder, sender := s.HoldRanks()
+		return view{HoldRanks: [2]int{holder, sender}, Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IdleSince: s.PhaseStartedAt, IsRelayed: usesRelays(s.Size), MustReadLists: s.NeedsLists(), Slowness: s.Slowness(), Requests: s.Requests()}
 	}, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
--- a/server/mapcontrol/relays.go
+++ b/server/mapcontrol/relays.go
@@ -57,16 +57,27 @@
 func usesRelays(ranks int) bool { return ranks > maxDirectRanks }
 
 // chooseRelay returns the first member of the batch that has not failed as a relay
-// recently; ok is false if all have.
+// recently; ok is false if all have. The members that take part in holds are used only if
+// there is no other: while a relay passes on orders to prepare a map, it answers late.
 func (c *coordinator) chooseRelay(batch []Member) (relay Member, ok bool) {
+	var holdRanks [2]int
+	if current := c.loop.View(); current != nil {
+		holdRanks = current.HoldRanks
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, member := range batch {
-		if time.Since(c.relayFailedAt[member.Agent]) >= relayRetryInterval {
+		if time.Since(c.relayFailedAt[member.Agent]) < relayRetryInterval {
+			continue
+		}
+		if member != c.membersByRank[holdRanks[0]] && member != c.membersByRank[holdRanks[1]] {
 			return member, true
 		}
+		if !ok {
+			relay, ok = member, true
+		}
 	}
-	return Member{}, false
+	return relay, ok
 }
 
 // callRelay calls a method of a relay of the batch. If the relay fails at once, as one
--- a/server/mapcontrol/relays_test.go
+++ b/server/mapcontrol/relays_test.go
@@ -20,6 +20,7 @@
 	"persimmonwind.dev/policy/mapswitch"
 	"persimmonwind.dev/policy/reduce"
 	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/server/loop"
 	"persimmonwind.dev/server/rpc"
 )
 
@@ -195,6 +196,35 @@
 	})
 }
 
+func TestRelaysAreNotTheRanksOfAHold(t *testing.T) {
+	Convey("Given a batch of three ranks, of which the first two take part in holds", t, func() {
+		agent := &Agent{Log: logrus.NewEntry(logrus.New()), peers: rpc.NewPool(nil)}
+		c := agent.newCoordinator("g", 1)
+		c.loop = loop.New(mapswitch.Step, func(mapswitch.State) view { return view{HoldRanks: [2]int{1, 2}} }, func(reduce.Effect) {}, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = c.loop.Run(ctx, mapswitch.New(1, 0), time.Hour) }()
+		for c.loop.View() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		var batch []Member
+		for rank := 1; rank <= 3; rank++ {
+			member := Member{Server: fmt.Sprint("server-", rank), Agent: fmt.Sprint("agent-", rank)}
+			c.membersByRank[rank] = member
+			batch = append(batch, member)
+		}
+		relay, ok := c.chooseRelay(batch)
+		So(ok, ShouldBeTrue)
+		So(relay, ShouldResemble, batch[2])
+		Convey("they serve as relays only if no other agent does", func() {
+			c.relayFailedAt[batch[2].Agent] = time.Now()
+			relay, ok = c.chooseRelay(batch)
+			So(ok, ShouldBeTrue)
+			So(relay, ShouldResemble, batch[0])
+		})
+	})
+}
+
 func TestRelayWithUnreachableAgents(t *testing.T) {
 	Convey("A relay returns the replies of the agents that answer, and why the others did not", t, func() {
 		model := topology.Engine{Sets: 1, Experts: 4}
