--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -20,6 +20,10 @@
 	// tries to acquire the lease. A coordinator reads every rank several times within
 	// it.
 	coordinatorTimeout = 700 * time.Millisecond
+	// heldCoordinatorTimeout replaces coordinatorTimeout, without a stagger, for the agent
+	// whose rank keeps the group from beginning a pass: the group stalls until the hold
+	// is released, and a coordinator reads the ranks every few tens of ms meanwhile.
+	heldCoordinatorTimeout = 250 * time.Millisecond
 	// rankStagger is multiplied by the rank's number and added to coordinatorTimeout, so
 	// that the agents of a group don't all try to acquire the lease at once. It leaves a
 	// new coordinator time for its first calls, before which it reads the list of servers.
@@ -109,7 +113,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if silence, _ := a.rank.sinceLastCall(); silence < coordinatorTimeout || time.Now().Before(notBefore) {
+		if silence, _ := a.rank.sinceLastCall(); silence < heldCoordinatorTimeout || time.Now().Before(notBefore) {
 			continue
 		}
 		state, err := a.Engine.Report(ctx)
@@ -118,7 +122,7 @@
 		}
 		a.rank.observeGroup(state)
 		silence, maxSeenFence := a.rank.sinceLastCall()
-		if silence < coordinatorTimeout+time.Duration(state.Rank)*rankStagger {
+		if silence < silenceLimit(state) {
 			continue
 		}
 		if !a.acquireAndCoordinate(ctx, state, silence, maxSeenFence) {
@@ -127,6 +131,15 @@
 	}
 }
 
+// silenceLimit returns how long no coordinator must have called before the agent of the
+// rank tries to acquire the lease.
+func silenceLimit(state topology.RankState) time.Duration {
+	if state.HeldPass != 0 {
+		return heldCoordinatorTimeout
+	}
+	return coordinatorTimeout + time.Duration(state.Rank)*rankStagger
+}
+
 // acquireAndCoordinate acquires the group's lease and coordinates the group until ctx
 // ends or a newer coordinator has called an agent. It returns false if it did not acquire
 // the lease. silence is the time since a coordinator last called.
--- a/server/mapcontrol/groups_test.go
+++ b/server/mapcontrol/groups_test.go
@@ -59,6 +59,32 @@
 	})
 }
 
+func TestSuccessorOfACoordinatorThatStopsDuringAHold(t *testing.T) {
+	Convey("The agent whose rank holds a pass succeeds a silent coordinator long before the others, whatever its rank", t, func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		store := newLeaseStore()
+		state := topology.RankState{Group: "g", Open: true, Epoch: 1, Rank: 11, Size: 12, Pass: 40, HeldPass: 41}
+		agent := &Agent{
+			InstanceName: "agent-11", Engine: &groupEngine{state: state}, Store: store,
+			DirectEngine:   func(string) Engine { return &groupEngine{} },
+			FollowTopology: func(ctx context.Context) { <-ctx.Done() },
+			Members:        func() []Member { return nil },
+			EngineModel:    func() *topology.Engine { return nil },
+			Log:            logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
+		}
+		agent.Prepare()
+		var reply ReadReply
+		So(agent.rank.Read(ReadArgs{Caller: Caller{Fence: 1, Group: "g"}}, &reply), ShouldBeNil)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*heldCoordinatorTimeout)
+		defer cancel()
+		agent.Run(ctx)
+		So(store.acquisitions(), ShouldResemble, map[string]int{"g": 1})
+		state.HeldPass = 0
+		So(silenceLimit(state), ShouldBeGreaterThan, coordinatorTimeout)
+	})
+}
+
 func TestGroupsKeepTheirCoordinators(t *testing.T) {
 	Convey("Agents of three groups, started group by group, acquire one lease each while all is calm", t, func() {
 		const groups, ranks, calm = 3, 4, 3 * time.Second
