--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -113,6 +113,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if ctx.Err() != nil {
+			return // The ticker may have been chosen although ctx has ended.
+		}
 		if silence, _ := a.rank.sinceLastCall(); silence < heldCoordinatorTimeout || time.Now().Before(notBefore) {
 			continue
 		}
