Name the coordinator's view, keep count reads off the link during prepares, budget without engines

An entry before plain services alone has no agents that report how many entries run; it divides the retry reserve by the assumed number, as before.

--- a/policy/topology/configuration.go
+++ b/policy/topology/configuration.go
@@ -114,3 +114,13 @@
 	Era        uint64        // Era of the store in which the row was read: it rises each time the store comes back from an older copy.
 	Born       int64         // When this incarnation started, in Unix milliseconds; 0 if unknown.
 }
+
+// HasEngines reports whether a service of the configuration has model engines.
+func (c *Configuration) HasEngines() bool {
+	for _, service := range c.Services {
+		if service.Engine != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -91,6 +91,9 @@
 
 // Install makes new requests use the snapshot.
 func (g *Gateway) Install(snapshot *topology.Snapshot) {
+	if snapshot.Config != nil && !snapshot.Config.HasEngines() {
+		g.setEntries(assumedEntryCount) // Only agents beside engines report the number.
+	}
 	g.snapshot.Store(snapshot)
 	g.dispatchers.configure(snapshot)
 }
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -122,18 +122,31 @@
 	Requests int       // Number of requests at all ranks, including queued ones.
 }
 
+// newView returns the view of a control state.
+func newView(s mapswitch.State) view {
+	holder, sender := s.HoldRanks()
+	return view{
+		Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IdleSince: s.PhaseStartedAt,
+		IsRelayed: usesRelays(s.Size), HoldRanks: [2]int{holder, sender}, MustReadLists: s.NeedsLists(),
+		Slowness: s.Slowness(), Requests: s.Requests(),
+	}
+}
+
 // slotUtilization returns the share of the group's request slots that are in use.
 func (v view) slotUtilization(engine *topology.Engine) float64 {
 	return float64(v.Requests) / float64(max(1, v.Size*engine.Slots))
 }
 
-// mayPauseForArming reports whether the group may soon pause until its ranks are armed,
-// that is, ordered to switch maps. Reads of expert counts would then compete with the
-// orders for the network link.
-func (v view) mayPauseForArming() bool {
+// needsLinkForOrders reports whether reads of expert counts would compete with orders for
+// the network link: the group may soon pause until its ranks are armed, that is, ordered
+// to switch maps, or relays pass on orders to prepare a map, which are long in a large
+// group.
+func (v view) needsLinkForOrders() bool {
 	switch v.Phase {
 	case mapswitch.Holding, mapswitch.Arming, mapswitch.Releasing:
 		return true
+	case mapswitch.Preparing:
+		return v.IsRelayed
 	default:
 		return false
 	}
@@ -154,10 +167,7 @@
 func (c *coordinator) run(ctx context.Context, ownRank int) {
 	ctx, c.stop = context.WithCancel(ctx)
 	defer c.stop()
-	c.loop = loop.New(stepCollectingOrders, func(s mapswitch.State) view {
-		holder, sender := s.HoldRanks()
-		return view{HoldRanks: [2]int{holder, sender}, Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IdleSince: s.PhaseStartedAt, IsRelayed: usesRelays(s.Size), MustReadLists: s.NeedsLists(), Slowness: s.Slowness(), Requests: s.Requests()}
-	}, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
+	c.loop = loop.New(stepCollectingOrders, newView, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
 	// Run returns no error when its context ends.
--- a/server/mapcontrol/reads.go
+++ b/server/mapcontrol/reads.go
@@ -24,7 +24,7 @@
 		if current.Phase != mapswitch.Idle && current.Phase != mapswitch.Survey {
 			interval = min(interval, round.changeInterval)
 		}
-		countsDue := time.Since(lastCountsReadAt) >= readInterval-interval/2 && !current.mayPauseForArming() && !(round.isRelayed && current.Phase == mapswitch.Preparing)
+		countsDue := time.Since(lastCountsReadAt) >= readInterval-interval/2 && !current.needsLinkForOrders()
 		if countsDue {
 			lastCountsReadAt = time.Now()
 		}
@@ -54,7 +54,7 @@
 // readRound is a round of calls that read members directly or in batches.
 type readRound struct {
 	calls          []func(ctx context.Context, options readOptions)
-	isRelayed      bool          // The calls go to relays, which the orders to prepare a map keep busy.
+	isRelayed      bool          // The calls go to relays.
 	countedCalls   int           // Number of calls that also read counts.
 	changeInterval time.Duration // Interval between rounds while a change is in progress.
 }
