Don't close the gate of engines of unknown groups while some of them serve

Change: an engine of unknown group that refuses with room, while others of unknown group serve, is passed over alone for half a second and longer.

--- a/policy/dispatch/group.go
+++ b/policy/dispatch/group.go
@@ -163,11 +163,15 @@
 	return maxSlowdown
 }
 
+// activeWithin reports whether a server of the group has sent an event within the time.
+func (g *group) activeWithin(window time.Duration, now time.Time) bool {
+	return slices.ContainsFunc(g.servers, func(s *server) bool { return now.Sub(s.lastEventAt) < window })
+}
+
 // trackActivity updates activeSince.
 func (g *group) trackActivity(now time.Time) {
-	active := slices.ContainsFunc(g.servers, func(s *server) bool { return now.Sub(s.lastEventAt) < groupActiveWindow })
 	switch {
-	case !active:
+	case !g.activeWithin(groupActiveWindow, now):
 		g.activeSince = time.Time{}
 	case g.activeSince.IsZero():
 		g.activeSince = now
--- a/policy/dispatch/health.go
+++ b/policy/dispatch/health.go
@@ -44,6 +44,9 @@
 	h.exclude(now)
 }
 
+// refused excludes a server that takes no work although it has room.
+func (h *health) refused(now time.Time) { h.exclude(now) }
+
 func (h *health) exclude(now time.Time) {
 	h.exclusionPeriod = min(max(initialExclusion, 2*h.exclusionPeriod), maxExclusion)
 	h.excludedUntil = now.Add(h.exclusionPeriod)
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -36,6 +36,10 @@
 	// deadline counts as one that does.
 	engineMarginPasses = 2.5
 
+	// servingWindow is how recently a server must have sent an event or an answer for its
+	// group to count as serving.
+	servingWindow = time.Second
+
 	// assumedEntries is the assumed number of entries that share the slots of a
 	// group when it opens. A data centre has one or two entries, and the users have
 	// three data centres.
@@ -84,7 +88,7 @@
 	case Busy:
 		server.busyUntil = now.Add(overloadBackoff)
 		if d.engine != nil && 2*server.load(now) < server.candidate.Slots {
-			server.group.gate.refused(now)
+			d.refusedWithRoom(server, now)
 		}
 	case Replaced:
 		server.busyUntil = now.Add(replacedBackoff)
@@ -98,6 +102,17 @@
 	return server.group.gate.closed
 }
 
+// refusedWithRoom records that an engine with room has refused a request, so that its
+// group takes no work. Engines whose group is unknown may be of several groups: while
+// some of them serve requests, only this one's group is known to be closed.
+func (d *Dispatcher) refusedWithRoom(s *server, now time.Time) {
+	if s.group.name == "" && s.group.activeWithin(servingWindow, now) {
+		s.health.refused(now)
+		return
+	}
+	s.group.gate.refused(now)
+}
+
 // closedQueueLimit returns the number of requests that may wait at this entry for
 // a closed group to open: the group's slots divided among the entries.
 func (d *Dispatcher) closedQueueLimit() int {
