Keep connections to relays of other groups

Change: only a member that was read directly has its connection closed.

Before: TestRelayOfAnotherGroup accepts a third connection (fails).

--- a/server/mapcontrol/members.go
+++ b/server/mapcontrol/members.go
@@ -49,14 +49,16 @@
 func (c *coordinator) recordReport(member Member, read mapswitch.RankRead) {
 	if c.recordMember(member, read.State) {
 		c.loop.Post(read)
+	} else if c.isForeign(read.State) {
+		c.peers.Drop(member.Agent) // It won't be called again soon.
 	}
 }
 
 // recordMember updates the known ranks from a rank's report. It reports whether the
 // report concerns the coordinator's group and the group takes work. A member of another
-// group is only marked as foreign.
+// group is only marked as foreign: its agent may be the relay of others.
 func (c *coordinator) recordMember(member Member, state topology.RankState) bool {
-	if state.Group != "" && state.Group != c.group {
+	if c.isForeign(state) {
 		c.markForeign(member)
 	}
 	if state.Group != c.group || !state.Open {
@@ -74,13 +76,16 @@
 	return true
 }
 
-// markForeign records that the member belongs to another group, and closes the
-// connection to its agent.
+// isForeign reports whether the rank belongs to another group.
+func (c *coordinator) isForeign(state topology.RankState) bool {
+	return state.Group != "" && state.Group != c.group
+}
+
+// markForeign records that the member belongs to another group.
 func (c *coordinator) markForeign(member Member) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.foreignReportedAt[member.Server] = time.Now()
-	c.mu.Unlock()
-	c.peers.Drop(member.Agent)
 }
 
 // member returns the member with the rank, and false if it is unknown.
--- a/server/mapcontrol/relays_test.go
+++ b/server/mapcontrol/relays_test.go
@@ -114,6 +114,13 @@
 	return connection, err
 }
 
+// accepted returns the number of connections that were accepted.
+func (l *stoppableListener) accepted() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.connections)
+}
+
 func (l *stoppableListener) stop() {
 	_ = l.Close()
 	l.mu.Lock()
@@ -196,6 +203,21 @@
 	})
 }
 
+func TestRelayOfAnotherGroup(t *testing.T) {
+	Convey("A coordinator that searches for its ranks keeps the connection to a relay of another group", t, func() {
+		agents := startTestAgents(t, 2, topology.Engine{Sets: 1, Experts: 4})
+		agent := &Agent{Log: agents.log, peers: rpc.NewPool(nil), DirectEngine: agents.directEngine}
+		defer agent.peers.Close()
+		c := agent.newCoordinator("h", 1)
+		c.loop = loop.New(mapswitch.Step, func(mapswitch.State) view { return view{} }, func(reduce.Effect) {}, nil)
+		c.readThroughRelay(t.Context(), agents.members, readOptions{})
+		So(c.foreignReportedAt, ShouldHaveLength, 2)
+		err := agent.peers.Call(t.Context(), agents.members[0].Agent, methodRelayRead, RelayReadArgs{}, &RelayReadReply{})
+		So(err, ShouldBeNil)
+		So(agents.listeners[0].accepted(), ShouldEqual, 2) // One of the coordinator, one of the relay to itself.
+	})
+}
+
 func TestRelaysAreNotTheRanksOfAHold(t *testing.T) {
 	Convey("Given a batch of three ranks, of which the first two take part in holds", t, func() {
 		agent := &Agent{Log: logrus.NewEntry(logrus.New()), peers: rpc.NewPool(nil)}
