--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -114,7 +114,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			return // The ticker may have been chosen although ctx has ended.
+			return // The ticker may have fired at the same time.
 		}
 		if silence, _ := a.rank.sinceLastCall(); silence < heldCoordinatorTimeout || time.Now().Before(notBefore) {
 			continue
