Log how an exchange ended and the parts of its prompt

No text of a prompt is logged. gateway_broken_exchanges_total counts them. Nothing is decided by these fields.

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -64,6 +64,10 @@
 	responseStarted       bool   // The status and headers have been sent to the caller.
 	lastEventID           string // ID of the latest event that the caller has.
 	relayedEvents         int
+	sentAt                time.Time    // When the latest attempt was sent.
+	eventsBefore          int          // Events relayed before the latest attempt.
+	end                   upstream.End // How the latest attempt's exchange ended; empty if it was answered.
+	groupClosed           bool         // The group of the latest attempt's server took no work at the attempt's end.
 	firstByteAt           time.Time
 	predictedFirstEventAt time.Time     // Predicted time of the first event; zero for no prediction.
 	longestEventGap       time.Duration // Longest time between two events from one server.
@@ -121,7 +125,7 @@
 	case !retry.SkipsBudget(failure.Code) && !c.gateway.spendRetryBudget():
 		reason = "budget_used_up"
 	}
-	logevent.Write(c.log, logevent.AttemptFailed, logrus.Fields{
+	logevent.Write(c.log.WithFields(c.endFields()), logevent.AttemptFailed, logrus.Fields{
 		"server": c.server, "attempt": attemptNumber, "code": int(failure.Code), "error": failure.Error(),
 		"again": reason == "", "reason": reason, "runs": c.possibleExecutions, "begun": c.responseStarted,
 		"config": c.snapshot.Config.Version,
@@ -129,6 +133,26 @@
 	return reason == ""
 }
 
+// endFields returns the log fields of an attempt whose exchange ended before its answer
+// was complete: what is needed to compare the requests that were at a server which ended.
+func (c *call) endFields() logrus.Fields {
+	if c.end == "" {
+		return nil
+	}
+	return logrus.Fields{
+		"end": string(c.end), "events": c.relayedEvents - c.eventsBefore, "sent_ms": time.Since(c.sentAt).Milliseconds(),
+		"group_closed": c.groupClosed, "organisation": c.organisationName(), "parts": c.request.SharedParts,
+	}
+}
+
+// organisationName returns the name of the caller's organisation, empty for none.
+func (c *call) organisationName() string {
+	if c.organisation == nil {
+		return ""
+	}
+	return c.organisation.Name
+}
+
 // resumable reports whether another server may continue the stream after it has
 // started.
 func (c *call) resumable() bool {
@@ -165,11 +189,13 @@
 	if decision.PredictedFirstEvent > 0 && !c.responseStarted {
 		c.predictedFirstEventAt = time.Now().Add(decision.PredictedFirstEvent)
 	}
+	c.end, c.eventsBefore = "", c.relayedEvents
 	outcome, failure := c.sendMigratable(ctx, service, decision.Server)
 	closed := c.gateway.dispatchers.release(service, decision.Server.ID, outcome)
 	if failure == nil {
 		return nil
 	}
+	c.groupClosed = closed
 	c.avoidServer = decision.Server.ID
 	if closed && outcome == dispatch.Busy {
 		c.foundGroupClosed = true
@@ -237,6 +263,7 @@
 		return dispatch.Unreachable, result.Errorf(result.NoBackendServer, "%v", err)
 	}
 	c.sends++
+	c.sentAt = time.Now()
 	exchange, err := c.gateway.pool.Do(ctx, conn, c.forward(service, server))
 	if err != nil {
 		c.possibleExecutions++
@@ -269,9 +296,7 @@
 // that the gateway sets.
 func (c *call) forward(service string, server topology.Candidate) upstream.Request {
 	forward := platform.ForwardOptions{Server: server.ID, Remaining: time.Until(c.deadline), LastEventID: c.lastEventID}
-	if c.organisation != nil {
-		forward.Organisation = c.organisation.Name
-	}
+	forward.Organisation = c.organisationName()
 	return upstream.Request{
 		Method: c.http.Method, Target: c.http.RequestURI, Host: c.http.Host,
 		Header: platform.ForwardHeader(c.http.Header, forward), Body: c.body,
@@ -325,6 +350,8 @@
 	case ctx.Err() != nil:
 		return dispatch.CallerLeft, result.Errorf(result.DeadlineExceeded, "no complete answer before the deadline")
 	default:
+		c.end = upstream.EndOf(err)
+		c.gateway.metrics.observeBroken(c.end, c.relayedEvents > c.eventsBefore)
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "%v", err)
 	}
 }
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonwind.dev/policy/result"
+	"persimmonwind.dev/server/upstream"
 )
 
 // latencyBuckets are histogram bucket bounds in seconds, placed around the users'
@@ -22,6 +23,8 @@
 	leavingServers prometheus.Counter // Servers that have said in an answer that they stop soon.
 	pauseRequests  prometheus.Counter // Refusals by which servers asked for a pause.
 
+	brokenExchanges *prometheus.CounterVec // Exchanges that servers ended before the answer was complete.
+
 	predictionError prometheus.Histogram // Difference between the predicted and the actual time of a stream's first event.
 }
 
@@ -48,12 +51,16 @@
 			Namespace: "persimmonwind", Name: "gateway_pause_requests_total",
 			Help: "Refusals by which backend servers asked to get no requests for a while.",
 		}),
+		brokenExchanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "gateway_broken_exchanges_total",
+			Help: "Exchanges with backend servers that ended before the answer was complete, by how they ended and whether events had arrived.",
+		}, []string{"end", "begun"}),
 		predictionError: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: "persimmonwind", Name: "gateway_first_event_error_seconds", Buckets: latencyBuckets,
 			Help: "Difference between the predicted and the actual time of a stream's first event, in seconds.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.duration, m.firstAnswer, m.leavingServers, m.pauseRequests, m.predictionError)
+	registry.MustRegister(m.requests, m.duration, m.firstAnswer, m.leavingServers, m.pauseRequests, m.brokenExchanges, m.predictionError)
 	return m
 }
 
@@ -62,3 +69,7 @@
 	m.requests.WithLabelValues(strconv.Itoa(int(code))).Inc()
 	m.duration.Observe(elapsed.Seconds())
 }
+
+func (m *Metrics) observeBroken(end upstream.End, begun bool) {
+	m.brokenExchanges.WithLabelValues(string(end), strconv.FormatBool(begun)).Inc()
+}
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -26,7 +26,7 @@
 var (
 	errEventTooLarge  = errors.New("event exceeds the size limit")
 	errEventOrder     = errors.New("event ids are out of order")
-	errTruncatedEvent = errors.New("stream ended in the middle of an event")
+	errTruncatedEvent = fmt.Errorf("stream ended in the middle of an event: %w", io.ErrUnexpectedEOF)
 )
 
 // relayStream relays complete events of a server's stream to the caller as they
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 )
 
 const (
@@ -29,6 +30,31 @@
 	ErrMismatchedResponse = errors.New("response of backend server does not belong to this request")
 )
 
+// End is how an exchange ended before its answer was complete.
+type End string
+
+// The ends of an exchange.
+const (
+	EndedByServer End = "closed"  // The server closed the connection in the middle of the exchange.
+	ResetByServer End = "reset"   // The server or its machine reset the connection.
+	Refused       End = "refused" // No process listens at the server's address.
+	OtherEnd      End = "other"   // Ended by this process, by a time-out, or by an answer that can't be used.
+)
+
+// EndOf returns how an exchange ended whose error is err.
+func EndOf(err error) End {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return ResetByServer
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return EndedByServer
+	default:
+		return OtherEnd
+	}
+}
+
 // Request is a request to a backend server.
 type Request struct {
 	Method string
