--- a/server/doccheck/doccheck_test.go
+++ b/server/doccheck/doccheck_test.go
@@ -19,6 +19,7 @@
 	"persimmonwind.dev/server/mapcontrol"
 	"persimmonwind.dev/server/metrics"
 	"persimmonwind.dev/server/settings"
+	"persimmonwind.dev/server/upstream"
 )
 
 var update = flag.Bool("update", false, "write the tables instead of checking them")
@@ -121,6 +122,7 @@
 	registry := prometheus.NewRegistry()
 	gatewayMetrics := gateway.NewMetrics(registry)
 	gatewayMetrics.ObserveRequest(result.OK, 0)
+	gatewayMetrics.ObserveBroken(upstream.OtherEnd, false)
 	mapMetrics := mapcontrol.NewMetrics(registry)
 	mapMetrics.CountPhase("idle")
 	families, err := registry.Gather()
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -351,7 +351,7 @@
 		return dispatch.CallerLeft, result.Errorf(result.DeadlineExceeded, "no complete answer before the deadline")
 	default:
 		c.end = upstream.EndOf(err)
-		c.gateway.metrics.observeBroken(c.end, c.relayedEvents > c.eventsBefore)
+		c.gateway.metrics.ObserveBroken(c.end, c.relayedEvents > c.eventsBefore)
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "%v", err)
 	}
 }
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -70,6 +70,7 @@
 	m.duration.Observe(elapsed.Seconds())
 }
 
-func (m *Metrics) observeBroken(end upstream.End, begun bool) {
+// ObserveBroken records an exchange that ended before its answer was complete.
+func (m *Metrics) ObserveBroken(end upstream.End, begun bool) {
 	m.brokenExchanges.WithLabelValues(string(end), strconv.FormatBool(begun)).Inc()
 }
