--- a/policy/dispatch/notices.go
+++ b/policy/dispatch/notices.go
@@ -21,8 +21,9 @@
 type notice struct {
 	born        int64 // The incarnation; see topology.Server.
 	leaving     bool
-	pausedUntil time.Time // The server asked to get no requests until then; zero if it did not.
-	configured  time.Time // When the server was last configured, or the notice was given.
+	limit       *NamedLimit // Nil for no limit.
+	pausedUntil time.Time   // The server asked to get no requests until then; zero if it did not.
+	configured  time.Time   // When the server was last configured, or the notice was given.
 }
 
 // concerns reports whether the notice was given by this incarnation of a server.
@@ -76,6 +77,24 @@
 	return known.pausedUntil
 }
 
+// NamedLimit is how many requests a second a server takes from all entries together.
+type NamedLimit struct{ PerSecond float64 }
+
+// LimitNamed records the limit that a server to which a request was sent has named in its
+// answer; nil if it names none. It reports whether that is new.
+func (d *Dispatcher) LimitNamed(candidate topology.Candidate, limit *NamedLimit, now time.Time) bool {
+	known := d.notices[candidate.ID]
+	if limit == nil && (!known.concerns(candidate) || known.limit == nil) {
+		return false
+	}
+	known = d.noticeOf(candidate, now)
+	if limit != nil && known.limit != nil && *limit == *known.limit {
+		return false
+	}
+	known.limit = limit
+	return true
+}
+
 // pausedUntil returns the end of the pause that the server has asked for.
 func (s *server) pausedUntil() time.Time {
 	if s.notice == nil {
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -359,7 +359,10 @@
 		Matches: func(header http.Header) bool {
 			return platform.DecodeResponse(0, header).AttemptID == c.request.AttemptID
 		},
-		Observe: func(response *http.Response) { c.observeLeaving(service, server, response) },
+		Observe: func(response *http.Response) {
+			c.observeLeaving(service, server, response)
+			c.observeLimit(service, server, response)
+		},
 	}
 }
 
@@ -378,6 +381,29 @@
 	}
 }
 
+// observeLimit tells the dispatcher the limit that the server names in a response. One
+// without a limit ends it, unless it is an interim response or another request's.
+func (c *call) observeLimit(service string, server topology.Candidate, response *http.Response) {
+	decoded := platform.DecodeResponse(response.StatusCode, response.Header)
+	if decoded.InvalidLimit != "" {
+		logevent.Write(c.log, logevent.HeaderRejected, logrus.Fields{"server": server.ID, "limit": fmt.Sprintf("%.40q", decoded.InvalidLimit)})
+	}
+	final := response.StatusCode >= http.StatusOK && decoded.AttemptID == c.request.AttemptID
+	if decoded.Misdirected || decoded.InvalidLimit != "" || !decoded.HasLimit && !final {
+		return
+	}
+	var limit *dispatch.NamedLimit
+	fields := logrus.Fields{"server": server.ID, "service": service, "named": decoded.HasLimit, "status": response.StatusCode, "config": c.snapshot.Config.Version}
+	if decoded.HasLimit {
+		limit = &dispatch.NamedLimit{PerSecond: decoded.Limit}
+		fields["per_second"] = decoded.Limit
+	}
+	if c.gateway.dispatchers.limitNamed(service, server, limit) {
+		c.gateway.metrics.limitChanges.Inc()
+		logevent.Write(c.log, logevent.LimitNamed, fields)
+	}
+}
+
 // observePause tells the dispatcher that the server wants no requests for a while if its
 // response says so.
 func (c *call) observePause(service string, server topology.Candidate, decoded platform.Response) {
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -209,6 +209,13 @@
 	return until
 }
 
+// limitNamed records the limit that a server has named, nil for none. It reports whether
+// that is new.
+func (d *dispatchers) limitNamed(service string, server topology.Candidate, limit *dispatch.NamedLimit) (isNew bool) {
+	d.withService(service, func(dispatcher *dispatcher) { isNew = dispatcher.LimitNamed(server, limit, time.Now()) })
+	return isNew
+}
+
 // registerStream allows the stream to be migrated off the server until the returned
 // function is called.
 func (d *dispatchers) registerStream(service, server string, c *call, migrate context.CancelCauseFunc) (unregister func()) {
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -21,6 +21,7 @@
 	firstAnswer prometheus.Histogram   // Time to the first byte of the answer.
 
 	leavingServers prometheus.Counter // Servers that have said in an answer that they stop soon.
+	limitChanges   prometheus.Counter // Limits that servers have named or ended.
 	pauseRequests  prometheus.Counter // Refusals by which servers asked for a pause.
 
 	brokenExchanges *prometheus.CounterVec // Exchanges that servers ended before the answer was complete.
@@ -47,6 +48,10 @@
 			Namespace: "persimmonwind", Name: "gateway_leaving_servers_total",
 			Help: "Backend servers that have said in an answer that they stop soon.",
 		}),
+		limitChanges: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "gateway_limit_changes_total",
+			Help: "Times that backend servers have named a limit of requests a second, changed it, or no longer named one.",
+		}),
 		pauseRequests: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "persimmonwind", Name: "gateway_pause_requests_total",
 			Help: "Refusals by which backend servers asked to get no requests for a while.",
@@ -60,7 +65,7 @@
 			Help: "Difference between the predicted and the actual time of a stream's first event, in seconds.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.duration, m.firstAnswer, m.leavingServers, m.pauseRequests, m.brokenExchanges, m.predictionError)
+	registry.MustRegister(m.requests, m.duration, m.firstAnswer, m.leavingServers, m.limitChanges, m.pauseRequests, m.brokenExchanges, m.predictionError)
 	return m
 }
 
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -25,6 +25,7 @@
 	BrokenServerChecked   = define(340, "broken_server_checked", logrus.InfoLevel, "A backend server broke exchanges off before it began to answer; the field ended tells whether no process listens at its address any more.")
 	PartJudged            = define(341, "part_judged", logrus.WarnLevel, "The evidence has changed by which a part of prompts crashes backend servers; the field accused tells whether requests with it are refused.")
 	CrashRecordNotWritten = define(342, "crash_record_not_written", logrus.WarnLevel, "The record of the crashes that this entry has observed could not be written to the store; the entry retries.")
+	LimitNamed            = define(343, "limit_named", logrus.InfoLevel, "A backend server named in an answer how many requests a second it takes from all entries together, or no longer names a limit.")
 	PauseRequested        = define(327, "pause_requested", logrus.InfoLevel, "A backend server refused a request and asked to get none for a while; it gets none from this entry until then.")
 	BackendServerSilent   = define(325, "server_silent", logrus.WarnLevel, "A backend server sends no events while others of its group do; it gets no requests for a while, and its streams that another server may continue are migrated.")
 )
