--- a/server/deployed/crashing_prompts_test.go
+++ b/server/deployed/crashing_prompts_test.go
@@ -1,212 +1,18 @@
 package deployed
 
 import (
-	"context"
-	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/sirupsen/logrus"
-
-	"persimmonwind.dev/platform"
-	"persimmonwind.dev/platform/header"
-	"persimmonwind.dev/platform/platformtest"
-)
-
-const (
-	fleetEntries = 4
-	fleetEngines = 8
-	engineSlots  = 12
-	metricsPort  = 9464
-	fleetKey     = "key-of-org-a"
-	// crashingPart is the part of prompts that crashes engines.
-	crashingPart = "bad0bad0"
-	// engineRestart is the time after which a crashed engine is back.
-	engineRestart = 600 * time.Millisecond
-)
-
-// fleet is a store, engines and entries on loopback addresses of their own. Engines
-// crash as they begin to answer a prompt with crashingPart.
-type fleet struct {
-	t       *testing.T
-	network string // First three octets of the addresses.
-	store   *platformtest.Store
-	entries []string // Addresses for callers.
-
-	mu      sync.Mutex
-	crashes []time.Time
-	reached []time.Time // When prompts with crashingPart reached engines.
-}
-
-// engine is one incarnation of an engine.
-type engine struct {
-	platformtest.Server
-	fleet   *fleet
-	address string
-	http    *http.Server
-	crash   sync.Once
-}
-
-func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, network: fmt.Sprintf("127.%d.251", 64+os.Getpid()%128), store: platformtest.NewStore()}
-	storeServer := httptest.NewServer(f.store)
-	config := platformtest.Configuration(1, platformtest.Shape{Ranks: fleetEngines, Sets: 2, Experts: 16, Places: 6}, false)
-	config["tenants"] = []any{map[string]any{"name": "org-a", "api_keys": []any{fleetKey}}}
-	config["routes"].([]any)[0].(map[string]any)["public"] = false
-	f.put(platform.TableOperators, platformtest.ConfigurationKey, config)
-	for i := range fleetEngines {
-		f.startEngine(i, 0)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	for i := range fleetEntries {
-		settings := f.settings(i, storeServer.Listener.Addr().String())
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		entry := NewEntry(settings, logrus.NewEntry(log))
-		running.Go(func() {
-			if err := entry.Run(ctx, metricsPort); err != nil {
-				t.Errorf("entry: %v", err)
-			}
-		})
-		f.entries = append(f.entries, settings.FrontListen)
-		f.awaitReady(settings.ReadyListen)
-	}
-	t.Cleanup(func() {
-		stop()
-		running.Wait()
-		storeServer.CloseClientConnections()
-		storeServer.Close()
-	})
-	return f
-}
-
-func (f *fleet) settings(i int, store string) platform.Settings {
-	path := filepath.Join(f.t.TempDir(), "entry.conf")
-	machine := platformtest.Machine{Name: fmt.Sprintf("entry-%d", i), Zone: "dc-0", IP: fmt.Sprintf("%s.%d", f.network, 1+i), Store: store}
-	if _, err := platformtest.WriteSettings(path, machine); err != nil {
-		f.t.Fatal(err)
-	}
-	settings, err := platform.ReadSettings(path)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	settings.GracePeriod = 0
-	return settings
-}
-
-func (f *fleet) awaitReady(address string) {
-	for range 100 {
-		response, err := http.Get("http://" + address + "/")
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return
-			}
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	f.t.Fatalf("entry at %s is not ready", address)
-}
-
-func (f *fleet) put(table, key string, value any) {
-	if err := f.store.Put(table, key, value); err != nil {
-		f.t.Errorf("put %s/%s: %v", table, key, err)
-	}
-}
-
-// startEngine starts the engine's incarnation with the number.
-func (f *fleet) startEngine(number, incarnation int) {
-	address := fmt.Sprintf("%s.%d:9100", f.network, 101+number)
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		f.t.Errorf("start engine: %v", err)
-		return
-	}
-	e := &engine{
-		Server: platformtest.Server{
-			ID: fmt.Sprintf("i-%d-%d", number, incarnation), Slots: engineSlots, ExecutionLog: platformtest.NewExecutionLog(),
-			Group: platformtest.NewGroup(platformtest.Shape{Ranks: 1, Sets: 1, Experts: 1, Places: 1}, 1),
-		},
-		fleet: f, address: address,
-	}
-	e.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, number, incarnation) })}
-	go func() { _ = e.http.Serve(listener) }()
-	f.t.Cleanup(func() { _ = e.http.Close() })
-	f.put(platform.TableServers, e.ID, platformtest.ServerRow(platformtest.EngineService, address, "dc-0", engineSlots, false))
-}
-
-// serve answers a request, or crashes at the time at which the first event of the answer
-// is due if the prompt holds crashingPart. The engine restarts under a new ID.
-func (e *engine) serve(w http.ResponseWriter, r *http.Request, number, incarnation int) {
-	if !strings.Contains(r.Header.Get(header.Prefix), crashingPart) {
-		e.ServeHTTP(w, r)
-		return
-	}
-	e.fleet.mu.Lock()
-	e.fleet.reached = append(e.fleet.reached, time.Now())
-	e.fleet.mu.Unlock()
-	time.Sleep(30 * time.Millisecond)
-	e.crash.Do(func() {
-		e.fleet.mu.Lock()
-		e.fleet.crashes = append(e.fleet.crashes, time.Now())
-		e.fleet.mu.Unlock()
-		go func() {
-			_ = e.http.Close()
-			e.fleet.store.Remove(platform.TableServers, e.ID)
-			time.Sleep(engineRestart)
-			e.fleet.startEngine(number, incarnation+1)
-		}()
-	})
-	<-r.Context().Done()
-}
-
-// send sends a prompt with the parts to a random entry and reports whether it was
-// answered completely at the first attempt.
-func (f *fleet) send(client *http.Client, random *rand.Rand, parts ...string) bool {
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[random.IntN(len(f.entries))]+"/stream/x", nil)
-	if err != nil {
-		f.t.Error(err)
-		return false
-	}
-	request.Host = "soak.example"
-	request.Header.Set(header.AttemptID, fmt.Sprintf("%016x", random.Uint64()))
-	request.Header.Set(header.Authorization, "Token "+fleetKey)
-	request.Header.Set(header.Deadline, "3000")
-	request.Header.Set(header.Prefix, strings.Join(append(parts, fmt.Sprintf("%08x", random.Uint32())), ":40,")+":200")
-	response, err := client.Do(request)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strings.Count(string(body), "id: ") == platformtest.StreamEvents
-}
-
-// firstParts and subjects are parts that sound prompts share with those that crash
-// engines.
-var (
-	firstParts = []string{"aaaa0001", "aaaa0002", "aaaa0003"}
-	subjects   = []string{"bbbb0001", "bbbb0002", "bbbb0003", "bbbb0004", "bbbb0005", "bbbb0006"}
 )
 
-func pick(random *rand.Rand, from []string) string { return from[random.IntN(len(from))] }
-
 // Guards against prompts of one content that end engine after engine: every entry
 // sends them on, and so does each retry (BUDGET, inc1 on glorieta-ops).
 func TestPromptsThatCrashEnginesStopBeingSent(t *testing.T) {
 	const (
-		contactTime     = 3 * time.Second // The settings of the fleet's entries say so.
 		testPeriod      = 14 * time.Second
 		soundInterval   = 20 * time.Millisecond
 		crashInterval   = 100 * time.Millisecond
@@ -224,23 +30,14 @@
 	var mu sync.Mutex
 	var sound []outcome
 	var callers sync.WaitGroup
-	every := func(interval time.Duration, do func(random *rand.Rand)) {
-		callers.Go(func() {
-			random := rand.New(rand.NewPCG(1, uint64(interval)))
-			for end := time.Now().Add(testPeriod); time.Now().Before(end); time.Sleep(interval) {
-				seed := random.Uint64()
-				callers.Go(func() { do(rand.New(rand.NewPCG(seed, seed))) })
-			}
-		})
-	}
-	every(soundInterval, func(random *rand.Rand) {
+	every(&callers, soundInterval, testPeriod, func(random *rand.Rand) {
 		sentAt := time.Now()
 		served := f.send(client, random, pick(random, firstParts), pick(random, subjects))
 		mu.Lock()
 		defer mu.Unlock()
 		sound = append(sound, outcome{sentAt, served})
 	})
-	every(crashInterval, func(random *rand.Rand) {
+	every(&callers, crashInterval, testPeriod, func(random *rand.Rand) {
 		f.send(client, random, pick(random, firstParts), pick(random, subjects), crashingPart)
 	})
 	callers.Wait()
