Divide the limit that a server names among the entries

Cause: no entry read the limit, and nothing divided a rate of one server among entries but the limit of cold servers, which is a bound for one second and is not known from answers. Ruled out: a limit heeded by each entry by itself, or only after a refusal; the servers with a limit had as many requests as the others, from all entries.

Each entry has an equal share of it, by the number of running entries, as a token bucket (golang.org/x/time/rate); if one request of each entry would be too many, entries take turns drawn at random, one request a turn, by the mechanism that cold servers have had. Whatever is sent counts. If all servers of a service name limits, a caller waits only if the next token or turn comes within the usual wait, and is told when otherwise. A limit ends with an answer that names none, or with the incarnation; interim and foreign answers only lower it; 0 leaves a request in ten seconds, which tells when it ends.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -13,7 +13,7 @@
 package dispatch
 
 import (
-	"hash/maphash"
+	"math/rand/v2"
 	"time"
 
 	"persimmonwind.dev/policy/topology"
@@ -77,7 +77,8 @@
 type Dispatcher struct {
 	engine  *topology.Engine // Model of the service's engines; nil for a plain service.
 	warmUp  WarmUpLimit
-	seed    maphash.Seed // Determines in which turns the entry may use cold servers.
+	entries int // Number of running entries as reported; 0 while unknown.
+	turns   turnSeed
 	servers []*server
 	groups  map[string]*group // By name.
 	byID    map[string]*server
@@ -88,7 +89,7 @@
 
 // NewDispatcher returns a dispatcher for one service.
 func NewDispatcher(warmUp WarmUpLimit) *Dispatcher {
-	return &Dispatcher{warmUp: warmUp, seed: maphash.MakeSeed(), byID: map[string]*server{}, groups: map[string]*group{}, notices: map[string]*notice{}}
+	return &Dispatcher{warmUp: warmUp, turns: turnSeed(rand.Uint64()), byID: map[string]*server{}, groups: map[string]*group{}, notices: map[string]*notice{}}
 }
 
 // Configure sets the servers that may get new work, the service's engine model,
@@ -115,7 +116,19 @@
 }
 
 // SetEntries sets the reported number of running entries.
-func (d *Dispatcher) SetEntries(count int) { d.warmUp.Entries = max(d.warmUp.Entries, count) }
+func (d *Dispatcher) SetEntries(count int) {
+	d.warmUp.Entries = max(d.warmUp.Entries, count)
+	d.entries = count
+}
+
+// runningEntries returns the number of running entries, an upper estimate while none has
+// been reported.
+func (d *Dispatcher) runningEntries() int {
+	if d.entries > 0 {
+		return d.entries
+	}
+	return max(1, d.warmUp.Entries)
+}
 
 // ObserveGap records the time between two events of a stream at the server with
 // this ID.
--- a/policy/dispatch/many_entries_test.go
+++ b/policy/dispatch/many_entries_test.go
@@ -19,6 +19,7 @@
 	dispatchers := make([]*Dispatcher, entries)
 	for i := range dispatchers {
 		dispatchers[i] = NewDispatcher(largeFleetWarmUp)
+		dispatchers[i].turns = turnSeed(i)
 		dispatchers[i].SetEntries(entries)
 		dispatchers[i].Configure(candidates(129, 6), topology.Service{WarmUpPerSecond: largeFleetColdPerSecond}, 0, start)
 	}
--- a/policy/dispatch/notices.go
+++ b/policy/dispatch/notices.go
@@ -21,7 +21,8 @@
 type notice struct {
 	born        int64 // The incarnation; see topology.Server.
 	leaving     bool
-	limit       *NamedLimit // Nil for no limit.
+	limit       *limitShare // Nil if the server names no limit.
+	named       NamedLimit  // The limit as the server has named it.
 	pausedUntil time.Time   // The server asked to get no requests until then; zero if it did not.
 	configured  time.Time   // When the server was last configured, or the notice was given.
 }
@@ -77,24 +78,55 @@
 	return known.pausedUntil
 }
 
-// NamedLimit is how many requests a second a server takes from all entries together.
-type NamedLimit struct{ PerSecond float64 }
-
 // LimitNamed records the limit that a server to which a request was sent has named in its
-// answer; nil if it names none. It reports whether that is new.
-func (d *Dispatcher) LimitNamed(candidate topology.Candidate, limit *NamedLimit, now time.Time) bool {
+// answer; nil if it names none. An answer that is not the request's final one may be an
+// old one, and only lowers a limit. LimitNamed reports whether the limit has changed.
+func (d *Dispatcher) LimitNamed(candidate topology.Candidate, limit *NamedLimit, final bool, now time.Time) bool {
 	known := d.notices[candidate.ID]
-	if limit == nil && (!known.concerns(candidate) || known.limit == nil) {
+	if !known.concerns(candidate) || known.limit == nil {
+		if limit == nil {
+			return false
+		}
+		known = d.noticeOf(candidate, now)
+		known.limit = newLimitShare(now)
+	} else if limit != nil && *limit == known.named || !final && (limit == nil || limit.PerSecond > known.named.PerSecond) {
 		return false
 	}
-	known = d.noticeOf(candidate, now)
-	if limit != nil && known.limit != nil && *limit == *known.limit {
-		return false
+	if limit == nil {
+		known.limit = nil
+		return true
 	}
-	known.limit = limit
+	known.named = *limit
+	known.limit.update(*limit, d.runningEntries(), now)
 	return true
 }
 
+// limitShare returns this entry's share of the limit that the server has named, nil for
+// none.
+func (d *Dispatcher) limitShare(s *server, now time.Time) *limitShare {
+	if s.notice == nil || s.notice.limit == nil {
+		return nil
+	}
+	s.notice.limit.update(s.notice.named, d.runningEntries(), now)
+	return s.notice.limit
+}
+
+// limitedRate returns the requests per second that this entry may send to the service and
+// the time until the next one. limited is false if a server names no limit.
+func (d *Dispatcher) limitedRate(now time.Time) (perSecond float64, wait time.Duration, limited bool) {
+	for i, server := range d.servers {
+		share := d.limitShare(server, now)
+		if share == nil {
+			return 0, 0, false
+		}
+		perSecond += share.perSecond()
+		if next := share.nextAt(d.turns, server.candidate.ID, now).Sub(now); i == 0 || next < wait {
+			wait = next
+		}
+	}
+	return perSecond, wait, len(d.servers) > 0
+}
+
 // pausedUntil returns the end of the pause that the server has asked for.
 func (s *server) pausedUntil() time.Time {
 	if s.notice == nil {
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -190,5 +190,9 @@
 		}
 	}
 	rate := max(minFreedRate, float64(len(d.freedAt))/rateWindow.Seconds())
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	perSecond, wait, limited := d.limitedRate(now)
+	if limited {
+		rate = min(rate, perSecond)
+	}
+	return wait + time.Duration(float64(ahead)/rate*float64(time.Second))
 }
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -51,6 +51,9 @@
 	}
 	s.ownRequests++
 	s.sends.requestSent(now)
+	if s.notice != nil && s.notice.limit != nil {
+		s.notice.limit.requestSent(now)
+	}
 }
 
 // Report is the load of a server as reported by the agent next to it.
@@ -106,7 +109,10 @@
 	if now.Before(s.busyUntil) || now.Before(s.pausedUntil()) || s.closed && s.fresh(now) || s.health.excluded(now) {
 		return false
 	}
-	if s.silent && s.ownRequests > 0 || !s.sends.allows(d.warmUp, now) || !d.warmUp.hasTurn(d.seed, s.candidate.ID, now) {
+	if s.silent && s.ownRequests > 0 || !s.sends.allows(d.warmUp, now) || !d.warmUp.hasTurn(d.turns, s.candidate.ID, now) {
+		return false
+	}
+	if share := d.limitShare(s, now); share != nil && !share.allows(d.turns, s.candidate.ID, now) {
 		return false
 	}
 	if d.engine != nil && !s.fresh(now) {
--- a/policy/dispatch/warm_up_limit.go
+++ b/policy/dispatch/warm_up_limit.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"hash/maphash"
-	"math"
-	"time"
-)
+import "time"
 
 // WarmUpLimit bounds the requests per second that this entry sends to one backend
 // server. A server in cold start can take only a few requests from all entries
@@ -23,12 +19,6 @@
 	// few more than the largest number of entries on today's machines. Agents report the
 	// actual number soon after a start.
 	serversPerEntry = 3
-	// turnLength is the length of the turns by which entries share a server that bears
-	// fewer requests a second than there are entries.
-	turnLength = 300 * time.Millisecond
-	// turnLoad is the share of what the server bears that the entries whose turn it is
-	// may use on average. The rest is for turns that fall together.
-	turnLoad = 0.6
 )
 
 // raiseEntries raises the estimate of running entries to match the number of
@@ -44,30 +34,14 @@
 // server may have just turned cold.
 func (r WarmUpLimit) perEntryLimit() float64 { return r.total() / float64(max(1, r.Entries)) }
 
-// turnShare returns the share of turns in which the entry may send a request to the
-// server: 1 if each entry may send at least one request a second. Otherwise entries that
-// have sent nothing for long could all send one in the same second, so each has turns
-// that are drawn at random.
-func (r WarmUpLimit) turnShare() float64 {
-	if r.perEntryLimit() >= 1 {
-		return 1
-	}
-	turnsInASecond := 1 + time.Second.Seconds()/turnLength.Seconds()
-	return turnLoad * r.perEntryLimit() / turnsInASecond
-}
-
 // hasTurn reports whether the entry with the seed may now send a request to the server.
-func (r WarmUpLimit) hasTurn(seed maphash.Seed, server string, now time.Time) bool {
-	share := r.turnShare()
-	if r.PerSecond <= 0 || share >= 1 {
+// If the server bears fewer requests a second than there are entries, those that have
+// sent nothing for long could all send one in the same second, so they take turns.
+func (r WarmUpLimit) hasTurn(turns turnSeed, server string, now time.Time) bool {
+	if r.PerSecond <= 0 || r.perEntryLimit() >= 1 {
 		return true
 	}
-	type turn struct {
-		server string
-		number int64
-	}
-	drawn := maphash.Comparable(seed, turn{server, now.UnixNano() / int64(turnLength)})
-	return float64(drawn) < share*math.MaxUint64
+	return turns.has(server, turnShare(r.total(), time.Second, r.Entries), now)
 }
 
 // sendWindow records when requests were sent to one server within the last second.
--- a/server/deployed/named_limits_test.go
+++ b/server/deployed/named_limits_test.go
@@ -1,7 +1,6 @@
 package deployed
 
 import (
-	"flag"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -11,14 +10,9 @@
 	"time"
 )
 
-var knownRed = flag.Bool("deployed.known-red", false, "run the tests that KNOWN-RED.txt lists")
-
 // Guards against sending a server more than the limit that it names, in all answers, for
 // all entries together (LIMIT, the day "capped" on glorieta-ops).
 func TestServersGetNoMoreThanTheLimitThatTheyName(t *testing.T) {
-	if !*knownRed {
-		t.Skip("listed in KNOWN-RED.txt; run it with -deployed.known-red")
-	}
 	const (
 		limit         = 2.3 // Requests a second.
 		window        = 4 * time.Second
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -398,7 +398,7 @@
 		limit = &dispatch.NamedLimit{PerSecond: decoded.Limit}
 		fields["per_second"] = decoded.Limit
 	}
-	if c.gateway.dispatchers.limitNamed(service, server, limit) {
+	if c.gateway.dispatchers.limitNamed(service, server, limit, final) {
 		c.gateway.metrics.limitChanges.Inc()
 		logevent.Write(c.log, logevent.LimitNamed, fields)
 	}
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -211,8 +211,8 @@
 
 // limitNamed records the limit that a server has named, nil for none. It reports whether
 // that is new.
-func (d *dispatchers) limitNamed(service string, server topology.Candidate, limit *dispatch.NamedLimit) (isNew bool) {
-	d.withService(service, func(dispatcher *dispatcher) { isNew = dispatcher.LimitNamed(server, limit, time.Now()) })
+func (d *dispatchers) limitNamed(service string, server topology.Candidate, limit *dispatch.NamedLimit, final bool) (isNew bool) {
+	d.withService(service, func(dispatcher *dispatcher) { isNew = dispatcher.LimitNamed(server, limit, final, time.Now()) })
 	return isNew
 }
 
