Give up a response whose head has no end

Cause: the head of a response was read without a limit of its size, so a server in trouble that sends bytes without end grew the entry's memory until the caller's deadline; a few such servers end the entry.

TestHeadWithoutEnd failed before: of a status line, a header, headers and bytes that are no answer without end the server got rid of 64 MB each, where the test ended it; after, less than 16 MB including the sockets. Interim responses without end were bounded before.

--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -132,7 +132,7 @@
 func (e *Exchange) receiveHead(request Request) error {
 	methodOnly := &http.Request{Method: request.Method}
 	for range maxMismatchedResponses {
-		response, err := http.ReadResponse(e.conn.reader, methodOnly)
+		response, err := e.conn.readHead(methodOnly)
 		if err != nil {
 			return fmt.Errorf("%w: receive: %w", ErrInterrupted, err)
 		}
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -50,7 +50,8 @@
 // Conn is a connection to a backend server.
 type Conn struct {
 	net.Conn
-	reader    *bufio.Reader
+	reader    *bufio.Reader // Reads through source.
+	source    *headReader
 	address   string
 	maxIdle   int
 	idleSince time.Time
@@ -90,8 +91,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
+	source := &headReader{conn: raw}
 	return &Conn{
-		Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: target.Address,
+		Conn: raw, reader: bufio.NewReaderSize(source, readBufferBytes), source: source, address: target.Address,
 		maxIdle: min(max(1, target.MaxIdle), maxIdlePerServer), idleLimit: defaultIdleLimit,
 	}, nil
 }
--- a/server/upstream/upstream_test.go
+++ b/server/upstream/upstream_test.go
@@ -267,3 +267,60 @@
 		So(ok, ShouldBeFalse)
 	})
 }
+
+// Guards against a server in trouble that sends a head without end: it was read into
+// memory until the caller's deadline.
+func TestHeadWithoutEnd(t *testing.T) {
+	heads := map[string]string{
+		"a status line":      "HTTP/1.1 200 O",
+		"headers":            "HTTP/1.1 200 OK\r\n",
+		"one header":         "HTTP/1.1 200 OK\r\nX-Id: ",
+		"interim responses":  "",
+		"bytes of no answer": "\x00",
+	}
+	more := map[string]string{
+		"a status line": strings.Repeat("O", 4096), "headers": strings.Repeat("X-Other: "+strings.Repeat("y", 50)+"\r\n", 64),
+		"one header": strings.Repeat("z", 4096), "interim responses": "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n", "bytes of no answer": strings.Repeat("\x00", 4096),
+	}
+	for name, head := range heads {
+		Convey("A head that goes on without end, "+name+", is given up after a bounded number of bytes", t, func() {
+			const allowed = 1 << 20
+			var written atomic.Int64
+			ended := make(chan struct{})
+			s := newFakeServer(func(_ int, conn net.Conn, reader *bufio.Reader) {
+				defer close(ended)
+				_, _ = readHead(reader)
+				_, err := io.WriteString(conn, head)
+				for err == nil && written.Load() < 64*allowed {
+					var n int
+					n, err = io.WriteString(conn, more[name])
+					written.Add(int64(n))
+				}
+			})
+			defer s.listener.Close()
+			_, err := roundTrip(NewPool(Dial), s.address(), "1")
+			So(err, ShouldNotBeNil)
+			<-ended
+			// The sockets on both sides hold some of it.
+			So(written.Load(), ShouldBeLessThan, 16*allowed)
+		})
+	}
+	Convey("A head of the usual size is read, on a reused connection too", t, func() {
+		s := newFakeServer(func(_ int, conn net.Conn, reader *bufio.Reader) {
+			for {
+				if _, err := readHead(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: "+strings.Repeat("y", 16<<10)+"\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("b", 300000))
+			}
+		})
+		defer s.listener.Close()
+		pool := NewPool(Dial)
+		for range 8 {
+			body, err := roundTrip(pool, s.address(), "1")
+			So(err, ShouldBeNil)
+			So(body, ShouldHaveLength, 300000)
+		}
+		So(s.accepted.Load(), ShouldEqual, 1)
+	})
+}
