Bound the memory of answers and events that are buffered, over all requests

Cause: each answer without end was read into memory up to 16 MB and each event up to 1 MB, whatever others held; a dozen servers in trouble hold 192 MB of an entry's 284 MB, without what io.ReadAll leaves behind while it grows. Now all buffers share 32 MB beyond 64 KB each, which nearly all answers stay below; an answer that finds none left fails as one that is too large did.

TestBuffersShareABoundedSpace (drawn) and TestBodiesWithoutEnd are new; the latter reads the space that did not exist before, so it was not seen to fail.

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -73,6 +73,7 @@
 	firstByteAt           time.Time
 	predictedFirstEventAt time.Time     // Predicted time of the first event; zero for no prediction.
 	longestEventGap       time.Duration // Longest time between two events from one server.
+	buffers               []*buffer     // Answers that are held until the call ends.
 	fallbackAnswer        *answer       // A server's error response, sent to the caller unless a retry succeeds.
 }
 
@@ -86,6 +87,7 @@
 // run makes attempts until one succeeds or no retry is allowed.
 func (c *call) run() {
 	c.gateway.creditRetryBudget()
+	defer c.releaseBuffers()
 	ctx, cancel := context.WithDeadline(c.http.Context(), c.deadline)
 	defer cancel()
 	service := c.route.PickService(rand.Float64())
@@ -108,6 +110,12 @@
 	}
 }
 
+func (c *call) releaseBuffers() {
+	for _, buffer := range c.buffers {
+		buffer.release()
+	}
+}
+
 // shouldRetry reports whether another attempt follows the failed one.
 func (c *call) shouldRetry(attemptNumber int, failure *result.Error) bool {
 	reason := ""
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,17 +16,14 @@
 	"persimmonwind.dev/server/upstream"
 )
 
-// maxBufferedBytes limits the size of an answer that is buffered until it is
-// complete.
-const maxBufferedBytes = 16 << 20
-
 // relayBuffered reads the complete answer before it sends any of it to the caller.
 func (c *call) relayBuffered(ctx context.Context, exchange *upstream.Exchange) (dispatch.Outcome, *result.Error) {
-	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxBufferedBytes+1))
-	if err != nil || len(body) > maxBufferedBytes {
+	body := &buffer{space: &c.gateway.buffers, limit: maxBufferedBytes}
+	c.buffers = append(c.buffers, body)
+	if err := body.readAll(exchange.Response.Body); err != nil {
 		exchange.Abort()
-		if err == nil {
-			return dispatch.Failed, result.Errorf(result.BackendFailed, "answer exceeds %d bytes", maxBufferedBytes)
+		if errors.Is(err, errBufferTooLarge) || errors.Is(err, errBuffersFull) {
+			return dispatch.Failed, result.Errorf(result.BackendFailed, "buffer answer: %v", err)
 		}
 		outcome, failure := c.classifyFailure(ctx, err)
 		if outcome == dispatch.Failed {
@@ -40,7 +37,7 @@
 		// can continue.
 		return dispatch.Failed, result.Errorf(result.CutAnswer, "stream could not be resumed: server answered status %d", exchange.Response.StatusCode)
 	}
-	complete := &answer{status: exchange.Response.StatusCode, header: platform.EndToEndHeader(exchange.Response.Header), body: body}
+	complete := &answer{status: exchange.Response.StatusCode, header: platform.EndToEndHeader(exchange.Response.Header), body: body.data}
 	if complete.status >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.fallbackAnswer = complete
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "server answered status %d", complete.status)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -66,6 +66,7 @@
 	dispatchers *dispatchers
 	pool        *upstream.Pool
 	guard       Guard
+	buffers     bufferSpace
 	log         *logrus.Entry
 	metrics     *Metrics
 
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -20,15 +20,11 @@
 	"persimmonwind.dev/server/upstream"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
-
 // answeredAfter is the time after the first event of a stream from which its server has
 // evidently not crashed by beginning to answer.
 const answeredAfter = 250 * time.Millisecond
 
 var (
-	errEventTooLarge  = errors.New("event exceeds the size limit")
 	errEventOrder     = errors.New("event ids are out of order")
 	errTruncatedEvent = fmt.Errorf("stream ended in the middle of an event: %w", io.ErrUnexpectedEOF)
 )
@@ -38,6 +34,8 @@
 // first server's answer.
 func (c *call) relayStream(ctx context.Context, service, server string, exchange *upstream.Exchange) (dispatch.Outcome, *result.Error) {
 	reader := bufio.NewReader(exchange.Response.Body)
+	event := &buffer{space: &c.gateway.buffers, limit: maxEventBytes}
+	defer event.release()
 	var firstAt, lastAt time.Time
 	answered := false
 	// The server has answered if it goes on for a while after the first event.
@@ -48,7 +46,8 @@
 		}
 	}
 	for {
-		event, id, err := readEvent(reader)
+		event.release()
+		id, err := readEvent(reader, event)
 		if errors.Is(err, io.EOF) {
 			exchange.Finish()
 			observeAnswered(true)
@@ -77,7 +76,7 @@
 		}
 		lastAt = now
 		c.startStream(exchange.Response)
-		c.relayEvent(event, id)
+		c.relayEvent(event.data, id)
 	}
 }
 
@@ -118,26 +117,25 @@
 	}
 }
 
-// readEvent returns the next event, including the blank line that ends it. It
-// returns io.EOF only if the stream ends between two events.
-func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
+// readEvent reads the next event into the buffer, including the blank line that ends it,
+// and returns its id. It returns io.EOF only if the stream ends between two events.
+func readEvent(reader *bufio.Reader, event *buffer) (id string, err error) {
 	for {
 		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return nil, "", errEventTooLarge
+		if appendErr := event.append(line); appendErr != nil {
+			return "", fmt.Errorf("buffer event: %w", appendErr)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(event) > 0 {
-			return nil, "", errTruncatedEvent
+		if errors.Is(err, io.EOF) && len(event.data) > 0 {
+			return "", errTruncatedEvent
 		}
 		if err != nil {
-			return nil, "", err
+			return "", err
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, eventID(event), nil
+			return eventID(event.data), nil
 		}
 	}
 }
