End an exchange whose skipped response is too long

TestLongResponseToAnotherRequest failed before: the caller got the bytes in the other answer's body that looked like its own.

--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -149,9 +149,13 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return fmt.Errorf("%w and has no length", ErrMismatchedResponse)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBodyBytes)); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBodyBytes+1))
+		if err != nil {
 			return fmt.Errorf("%w: receive another request's response: %w", ErrInterrupted, err)
 		}
+		if skipped > maxMismatchedBodyBytes {
+			return fmt.Errorf("%w and exceeds %d bytes", ErrMismatchedResponse, maxMismatchedBodyBytes)
+		}
 	}
 	return fmt.Errorf("%w: %d in a row", ErrMismatchedResponse, maxMismatchedResponses)
 }
--- a/server/upstream/upstream_test.go
+++ b/server/upstream/upstream_test.go
@@ -324,3 +324,19 @@
 		So(s.accepted.Load(), ShouldEqual, 1)
 	})
 }
+
+// Guards against reading the rest of another request's long response as the next head.
+func TestLongResponseToAnotherRequest(t *testing.T) {
+	Convey("A response to another request that is longer than what is skipped ends the exchange", t, func() {
+		forged := response("1", "forged")
+		s := newFakeServer(func(_ int, conn net.Conn, reader *bufio.Reader) {
+			_, _ = readHead(reader)
+			_, _ = io.WriteString(conn, response("other", strings.Repeat("x", maxMismatchedBodyBytes)+forged))
+			_, _ = io.WriteString(conn, response("1", "true"))
+		})
+		defer s.listener.Close()
+		body, err := roundTrip(NewPool(Dial), s.address(), "1")
+		So(body, ShouldNotEqual, "forged")
+		So(errors.Is(err, ErrMismatchedResponse), ShouldBeTrue)
+	})
+}
