Clear a part for all by answers to two organisations

A common part had been at two crashed servers in prompts of two rare organisations, so it was accused for all, and only answers to those very organisations cleared it. Now answers to any two clear it, as crashes of two accuse it; an entry publishes at most two a part, the accused organisations first.

Evidence is judged when something has changed, when a watched part is answered, and every 10 s, not at each tick; the memory of sound parts has an index by part.

--- a/policy/poison/clearance.go
+++ b/policy/poison/clearance.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"persimmonwind.dev/policy/reduce"
@@ -12,8 +14,8 @@
 
 // scheduleClearances chooses a time for publishing clearances if the records accuse a
 // part that this entry has seen answered since.
-func (s State) scheduleClearances(crashes []Crash, cleared map[clearedPart]time.Time, input reduce.Input) State {
-	if len(s.publishable(crashes, cleared)) == 0 {
+func (s State) scheduleClearances(accused map[partKey]Accusation, cleared map[partKey]map[string]time.Time, input reduce.Input) State {
+	if len(s.publishable(accused, cleared)) == 0 {
 		s.clearAt = time.Time{}
 	} else if s.clearAt.IsZero() {
 		fraction := float64(input.Random>>11) / (1 << 53)
@@ -22,30 +24,46 @@
 	return s
 }
 
-// publishClearances adds the clearances that are due to the entry's record.
-func (s State) publishClearances(now time.Time) State {
+// publishClearances adds the clearances that are due to the entry's record. It reports
+// whether any were due.
+func (s State) publishClearances(now time.Time) (_ State, published bool) {
 	if s.clearAt.IsZero() || now.Before(s.clearAt) {
-		return s
+		return s, false
 	}
-	for _, clearance := range s.publishable(s.crashes(now), s.clearances()) {
+	cleared := s.clearances()
+	for _, clearance := range s.publishable(accusedByRecords(s.crashes(now), cleared), cleared) {
 		s.own.addClearance(clearance)
 	}
-	return s
+	return s, true
+}
+
+// accusedByRecords returns the parts that the records accuse, without what this entry
+// has seen answered but not published.
+func accusedByRecords(crashes []Crash, cleared map[partKey]map[string]time.Time) map[partKey]Accusation {
+	return accusations(crashes, func(key partKey) map[string]time.Time { return cleared[key] })
 }
 
 // publishable returns the clearances that are missing in the records: of the parts that
-// they accuse, in the prompts of organisations to whom this entry has seen them answered
-// after a crash that counts.
-func (s State) publishable(crashes []Crash, cleared map[clearedPart]time.Time) []Clearance {
+// they accuse, for organisations to whom this entry has seen them answered after a crash
+// that counts; the accused ones first.
+func (s State) publishable(accused map[partKey]Accusation, cleared map[partKey]map[string]time.Time) []Clearance {
 	var missing []Clearance
-	published := func(suspect organisationKey, part string) time.Time { return cleared[clearedPart{suspect, part}] }
-	for key, accusation := range accusations(crashes, published) {
-		for _, organisation := range accusation.Organisations {
-			at := wireTime(s.sound.last(organisationKey{key.service, organisation}, key.part))
-			if at.After(accusation.FirstCrash) {
-				missing = append(missing, Clearance{key.service, organisation, key.part, at})
+	for key, accusation := range accused {
+		var found []Clearance
+		for organisation, at := range s.sound.organisations(key) {
+			at = wireTime(at)
+			if at.After(accusation.FirstCrash) && at.After(cleared[key][organisation]) {
+				found = append(found, Clearance{key.service, organisation, key.part, at})
 			}
 		}
+		slices.SortFunc(found, func(a, b Clearance) int {
+			aAccused, bAccused := slices.Contains(accusation.Organisations, a.Organisation), slices.Contains(accusation.Organisations, b.Organisation)
+			if aAccused != bAccused {
+				return map[bool]int{true: -1, false: 1}[aAccused]
+			}
+			return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Organisation, b.Organisation))
+		})
+		missing = append(missing, found[:min(len(found), clearingOrganisations)]...)
 	}
 	return missing
 }
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -7,9 +7,8 @@
 // them to the accused parts.
 //
 // Invariants: a part is accused only by crashes after which none of its organisation's
-// requests with it has been answered; what one organisation sends neither clears nor
-// accuses a part for another one, unless both have had requests with it at crashed
-// servers; all state is bounded.
+// requests with it has been answered; what a single organisation sends neither clears nor
+// accuses a part for others, what two send holds for all; all state is bounded.
 package poison
 
 import (
@@ -29,12 +28,16 @@
 	maxSuspectParts = 192
 	// writeBackoff is the time after a failed write of the record until the next one.
 	writeBackoff = 300 * time.Millisecond
+	// judgeInterval is how often evidence that has not changed is judged anew, as it grows
+	// old.
+	judgeInterval = 10 * time.Second
 	// confirmTimeout is how long a successful write may take to be read back before it is
 	// repeated.
 	confirmTimeout = time.Second
 )
 
-// Suspect is a request that was at a server when it crashed and had not been answered.
+// Suspect is a request that was at a server when it crashed and that the server had not
+// answered, or had only just begun to.
 type Suspect struct {
 	Organisation string
 	Parts        []string // Hashes of the parts of its prompt that other requests may share.
@@ -134,6 +137,8 @@
 	sound     *soundParts
 	writing   bool
 	nextWrite time.Time
+	watched   map[partKey]bool // Parts that are accused here, or by the records alone.
+	judgedAt  time.Time
 	clearAt   time.Time // When clearances are published; zero if none are missing.
 }
 
@@ -151,8 +156,7 @@
 		state.own.addCrash(event.Crash)
 		state, effects = state.judge(input)
 	case Answered:
-		accused := state.answered(event, input.Now)
-		if !accused {
+		if watched := state.answered(event, input.Now); !watched {
 			return state, nil
 		}
 		state, effects = state.judge(input)
@@ -178,23 +182,24 @@
 		}
 	case reduce.Tick:
 		state.own.dropExpired(input.Now)
-		state = state.publishClearances(input.Now)
-		state, effects = state.judge(input)
+		published := false
+		state, published = state.publishClearances(input.Now)
+		if published || input.Now.Sub(state.judgedAt) >= judgeInterval {
+			state, effects = state.judge(input)
+		}
 		effects = append(effects, state.removeExpired(input)...)
 	}
 	state, write := state.write(input.Now)
 	return state, append(effects, write...)
 }
 
-// answered remembers the parts as sound and reports whether one of them is accused.
-func (s State) answered(event Answered, now time.Time) (accused bool) {
+// answered remembers the parts as sound and reports whether one of them is watched.
+func (s State) answered(event Answered, now time.Time) (watched bool) {
 	for _, part := range event.Parts {
 		s.sound.add(organisationKey{event.Service, event.Organisation}, part, now)
-		if _, ok := s.Verdicts.accused[partKey{event.Service, part}]; ok {
-			accused = true
-		}
+		watched = watched || s.watched[partKey{event.Service, part}]
 	}
-	return accused
+	return watched
 }
 
 // wireTime returns the time in the resolution in which records are stored.
--- a/policy/poison/poison_test.go
+++ b/policy/poison/poison_test.go
@@ -209,6 +209,20 @@
 		f.answered("e1", "attacker", "bad")
 		So(f.refuses("e1", "o", "bad"), ShouldBeTrue)
 	})
+	Convey("Answers to two organisations clear a part for all", t, func() {
+		f := newFleet("e1", "e2")
+		for i, organisation := range []string{"o1", "o2"} {
+			f.crash("e1", fmt.Sprint("i-", i), suspect(organisation, "common"))
+			f.pass(betweenCrashes)
+		}
+		So(f.refuses("e2", "o3", "common"), ShouldBeTrue)
+		f.answered("e2", "o3", "common")
+		f.pass(clearanceSpread)
+		So(f.refuses("e1", "o1", "common"), ShouldBeTrue)
+		f.answered("e2", "o4", "common")
+		f.pass(clearanceSpread)
+		So(f.refuses("e1", "o1", "common"), ShouldBeFalse)
+	})
 	Convey("Invented parts don't displace what is known of another organisation's", t, func() {
 		f := newFleet("e1")
 		f.answered("e1", "o", "common")
@@ -219,6 +233,11 @@
 		f.pass(betweenCrashes)
 		f.crash("e1", "i-2", suspect("o", "common"))
 		So(f.refuses("e1", "o", "common"), ShouldBeFalse)
+		for i := range 10 * soundOrganisations {
+			f.answered("e1", fmt.Sprint("o", i), "common", "other")
+		}
+		So(len(f.states["e1"].sound.byPart), ShouldBeLessThanOrEqualTo, soundOrganisations*soundPartsEach)
+		So(f.states["e1"].sound.byPart[partKey{"s", "common"}], ShouldHaveLength, soundOrganisations)
 	})
 	Convey("Another service's servers say nothing of a part", t, func() {
 		f := newFleet("e1")
--- a/policy/poison/sound.go
+++ b/policy/poison/sound.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -18,16 +19,19 @@
 
 // soundParts remembers when requests with a part were last answered.
 type soundParts struct {
-	byOrganisation *simplelru.LRU[organisationKey, *simplelru.LRU[string, time.Time]]
+	byOrganisation *simplelru.LRU[organisationKey, *simplelru.LRU[string, struct{}]]
+	byPart         map[partKey]map[string]time.Time // By organisation; an index of byOrganisation.
 }
 
 func newSoundParts() *soundParts {
-	return &soundParts{byOrganisation: mustLRU[organisationKey, *simplelru.LRU[string, time.Time]](soundOrganisations)}
+	s := &soundParts{byPart: map[partKey]map[string]time.Time{}}
+	s.byOrganisation = mustLRU(soundOrganisations, func(_ organisationKey, parts *simplelru.LRU[string, struct{}]) { parts.Purge() })
+	return s
 }
 
 // mustLRU returns an empty cache of a size above 0.
-func mustLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
-	cache, err := simplelru.NewLRU[K, V](size, nil)
+func mustLRU[K comparable, V any](size int, evicted func(K, V)) *simplelru.LRU[K, V] {
+	cache, err := simplelru.NewLRU(size, evicted)
 	if err != nil {
 		panic(err) // Only for a size of 0 or less.
 	}
@@ -37,30 +41,31 @@
 func (s *soundParts) add(key organisationKey, part string, now time.Time) {
 	parts, ok := s.byOrganisation.Get(key)
 	if !ok {
-		parts = mustLRU[string, time.Time](soundPartsEach)
+		parts = mustLRU(soundPartsEach, func(part string, _ struct{}) { s.forget(key, part) })
 		s.byOrganisation.Add(key, parts)
 	}
-	parts.Add(part, now)
+	parts.Add(part, struct{}{})
+	index := partKey{key.service, part}
+	if s.byPart[index] == nil {
+		s.byPart[index] = map[string]time.Time{}
+	}
+	s.byPart[index][key.organisation] = now
 }
 
-// last returns when a request of the organisation with the part was last answered; the
-// zero time if none is remembered.
-func (s *soundParts) last(key organisationKey, part string) time.Time {
-	parts, ok := s.byOrganisation.Peek(key)
-	if !ok {
-		return time.Time{}
+// forget removes an evicted part from the index.
+func (s *soundParts) forget(key organisationKey, part string) {
+	index := partKey{key.service, part}
+	delete(s.byPart[index], key.organisation)
+	if len(s.byPart[index]) == 0 {
+		delete(s.byPart, index)
 	}
-	at, _ := parts.Peek(part)
-	return at
 }
 
-// organisations returns the organisations whose requests with the part were answered.
-func (s *soundParts) organisations(service, part string) map[string]bool {
-	known := map[string]bool{}
-	for _, key := range s.byOrganisation.Keys() {
-		if key.service == service && !s.last(key, part).IsZero() {
-			known[key.organisation] = true
-		}
+// organisations returns the organisations whose requests with the part were answered, with
+// the times of the last answers.
+func (s *soundParts) organisations(key partKey) map[string]time.Time {
+	if known := s.byPart[key]; known != nil {
+		return maps.Clone(known)
 	}
-	return known
+	return map[string]time.Time{}
 }
--- a/policy/poison/verdict.go
+++ b/policy/poison/verdict.go
@@ -20,6 +20,9 @@
 	// trustedEpisodes replaces both for organisations whose requests with the part were
 	// answered before; longHoldServers in accusingEpisodes count as much.
 	trustedEpisodes = 3
+	// clearingOrganisations is the number of organisations whose answers clear a part for
+	// all, as the requests of that many accuse it for all.
+	clearingOrganisations = 2
 	// shortHold and longHold are how long after the latest crash requests with a part are
 	// refused: the long one from longHoldServers crashed servers.
 	shortHold       = 5 * time.Minute
@@ -39,7 +42,7 @@
 	// is the only one whose requests are refused.
 	Organisations []string
 
-	trusting map[string]bool // Organisations whose requests with the part were answered before.
+	trusting map[string]time.Time // When requests of an organisation with the part were last answered.
 }
 
 // Until returns the time until which requests with the part are refused.
@@ -56,7 +59,7 @@
 		return false
 	}
 	strong := a.Episodes >= trustedEpisodes || a.Episodes >= accusingEpisodes && len(a.Servers) >= longHoldServers
-	if a.trusting[organisation] && !strong {
+	if _, trusting := a.trusting[organisation]; trusting && !strong {
 		return false
 	}
 	return len(a.Organisations) > 1 || slices.Contains(a.Organisations, organisation)
@@ -86,15 +89,27 @@
 	now := input.Now
 	known := s.crashes(now)
 	cleared := s.clearances()
-	accused := accusations(known, func(suspect organisationKey, part string) time.Time {
-		return latest(cleared[clearedPart{suspect, part}], s.sound.last(suspect, part))
+	accused := accusations(known, func(key partKey) map[string]time.Time {
+		answered := s.sound.organisations(key)
+		for organisation, at := range cleared[key] {
+			answered[organisation] = latest(answered[organisation], at)
+		}
+		return answered
 	})
 	for key, accusation := range accused {
-		accusation.trusting = s.sound.organisations(key.service, key.part)
+		accusation.trusting = s.sound.organisations(key)
 		accused[key] = accusation
 	}
 	dropExplained(accused)
-	s = s.scheduleClearances(known, cleared, input)
+	byRecords := accusedByRecords(known, cleared)
+	s.watched = map[partKey]bool{}
+	for _, parts := range []map[partKey]Accusation{accused, byRecords} {
+		for key := range parts {
+			s.watched[key] = true
+		}
+	}
+	s.judgedAt = now
+	s = s.scheduleClearances(byRecords, cleared, input)
 	effects := verdictChanges(s.Verdicts.accused, accused)
 	if len(accused) > 0 || len(s.Verdicts.accused) > 0 {
 		s.Verdicts = &Verdicts{accused: accused}
@@ -123,18 +138,22 @@
 	return !slices.ContainsFunc(some, func(server string) bool { return !slices.Contains(all, server) })
 }
 
-// accusations returns the parts that the crashes accuse. answeredAt returns when a request
-// of an organisation with a part was last answered: earlier crashes don't count.
-func accusations(crashes []Crash, answeredAt func(suspect organisationKey, part string) time.Time) map[partKey]Accusation {
+// accusations returns the parts that the crashes accuse. answered returns when requests
+// with a part were last answered, by organisation: earlier crashes don't count.
+func accusations(crashes []Crash, answered func(key partKey) map[string]time.Time) map[partKey]Accusation {
 	evidence := map[partKey]Accusation{}
+	answers := map[partKey]map[string]time.Time{}
 	episodeStart := map[partKey]time.Time{}
 	for _, crash := range crashes {
 		for _, suspect := range crash.Suspects {
 			for _, part := range suspect.Parts {
-				if answeredAt(organisationKey{crash.Service, suspect.Organisation}, part).After(crash.At) {
+				key := partKey{crash.Service, part}
+				if answers[key] == nil {
+					answers[key] = answered(key)
+				}
+				if clears(answers[key], suspect.Organisation, crash.At) {
 					continue
 				}
-				key := partKey{crash.Service, part}
 				accusation := evidence[key]
 				if !slices.Contains(accusation.Organisations, suspect.Organisation) {
 					accusation.Organisations = append(accusation.Organisations, suspect.Organisation)
@@ -160,6 +179,21 @@
 	return evidence
 }
 
+// clears reports whether the answers to requests with a part clear it of a crash in which
+// the organisation had one: answers to that organisation, or to any two.
+func clears(answers map[string]time.Time, organisation string, crashedAt time.Time) bool {
+	if answers[organisation].After(crashedAt) {
+		return true
+	}
+	since := 0
+	for _, at := range answers {
+		if at.After(crashedAt) {
+			since++
+		}
+	}
+	return since >= clearingOrganisations
+}
+
 // crashes returns the crashes in all records in the order of their times, each once with
 // the suspects of all entries.
 func (s State) crashes(now time.Time) []Crash {
@@ -191,19 +225,17 @@
 	})
 }
 
-// clearedPart is a part in the prompts of an organisation.
-type clearedPart struct {
-	organisationKey
-	part string
-}
-
-// clearances returns the time of the latest clearance of each part in all records.
-func (s State) clearances() map[clearedPart]time.Time {
-	cleared := map[clearedPart]time.Time{}
+// clearances returns the times of the latest clearances of each part in all records, by
+// organisation.
+func (s State) clearances() map[partKey]map[string]time.Time {
+	cleared := map[partKey]map[string]time.Time{}
 	add := func(record Record) {
 		for _, clearance := range record.Clearances {
-			key := clearedPart{organisationKey{clearance.Service, clearance.Organisation}, clearance.Part}
-			cleared[key] = latest(cleared[key], clearance.At)
+			key := partKey{clearance.Service, clearance.Part}
+			if cleared[key] == nil {
+				cleared[key] = map[string]time.Time{}
+			}
+			cleared[key][clearance.Organisation] = latest(cleared[key][clearance.Organisation], clearance.At)
 		}
 	}
 	add(s.own)
