Count requests whose first event has just come as suspects of a crash

A server that sends its first event of a crashing prompt just before it ends would have shown nothing: only requests without any event were suspects. In the incident the crashing prompts had none, but nothing promises that. A request is a suspect until its server has gone on for 250 ms after the first event, which is when its parts count as answered. TestGuardedPrompts expects it; it failed before for a stream broken off after its first event.

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -67,6 +67,7 @@
 	lastEventID           string // ID of the latest event that the caller has.
 	relayedEvents         int
 	sentAt                time.Time    // When the latest attempt was sent.
+	firstEventAt          time.Time    // When the latest attempt's first event arrived; zero for none.
 	eventsBefore          int          // Events relayed before the latest attempt.
 	end                   upstream.End // How the latest attempt's exchange ended; empty if it was answered.
 	groupClosed           bool         // The group of the latest attempt's server took no work at the attempt's end.
@@ -211,7 +212,7 @@
 	if decision.PredictedFirstEvent > 0 && !c.responseStarted {
 		c.predictedFirstEventAt = time.Now().Add(decision.PredictedFirstEvent)
 	}
-	c.end, c.eventsBefore = "", c.relayedEvents
+	c.end, c.eventsBefore, c.firstEventAt = "", c.relayedEvents, time.Time{}
 	outcome, failure := c.sendMigratable(ctx, service, decision.Server)
 	closed := c.gateway.dispatchers.release(service, decision.Server.ID, outcome)
 	if failure == nil {
@@ -256,15 +257,21 @@
 	return decision, nil
 }
 
-// observeBroken tells the guard that the server has broken the exchange off before it
-// began to answer.
+// observeBroken tells the guard that the server has broken the exchange off before it had
+// answered.
 func (c *call) observeBroken(service string, server topology.Candidate, prompt quarantine.Prompt) {
 	broken := c.end == upstream.EndedByServer || c.end == upstream.ResetByServer
-	if broken && c.relayedEvents == c.eventsBefore && c.gateway.dispatchers.expectedToRun(service, server.ID) {
+	if broken && !c.answering() && c.gateway.dispatchers.expectedToRun(service, server.ID) {
 		c.gateway.guard.Broken(prompt, server.ID, server.Address, c.sentAt)
 	}
 }
 
+// answering reports whether the latest attempt's server has gone on for a while after it
+// began to answer.
+func (c *call) answering() bool {
+	return !c.firstEventAt.IsZero() && time.Since(c.firstEventAt) >= answeredAfter
+}
+
 // ticket returns the description of the request by which the dispatcher queues it and
 // assigns it to a server.
 func (c *call) ticket() dispatch.Ticket {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -54,7 +54,7 @@
 	Queued(prompt quarantine.Prompt, cancel context.CancelCauseFunc) (remove func())
 	// Answered records that a server has answered a prompt.
 	Answered(prompt quarantine.Prompt)
-	// Broken records that a server broke an exchange off before it began to answer.
+	// Broken records that a server broke an exchange off before it had answered.
 	Broken(prompt quarantine.Prompt, server, address string, sentAt time.Time)
 	// Refresh records a sign that a server may have crashed.
 	Refresh()
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -36,11 +36,11 @@
 	reader := bufio.NewReader(exchange.Response.Body)
 	event := &buffer{space: &c.gateway.buffers, limit: maxEventBytes}
 	defer event.release()
-	var firstAt, lastAt time.Time
+	var lastAt time.Time
 	answered := false
 	// The server has answered if it goes on for a while after the first event.
 	observeAnswered := func(complete bool) {
-		if !answered && !firstAt.IsZero() && (complete || time.Since(firstAt) >= answeredAfter) {
+		if !answered && (c.answering() || complete && !c.firstEventAt.IsZero()) {
 			answered = true
 			c.gateway.guard.Answered(c.prompt(service))
 		}
@@ -68,7 +68,7 @@
 		}
 		now := time.Now()
 		if lastAt.IsZero() {
-			firstAt = now
+			c.firstEventAt = now
 			c.gateway.dispatchers.observeFirstEvent(service, server)
 		} else {
 			c.gateway.dispatchers.gap(service, server, now.Sub(lastAt))
--- a/server/quarantine/quarantine.go
+++ b/server/quarantine/quarantine.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// Broken records that a server has broken an exchange off before it began to answer. The
-// prompt becomes evidence if the server turns out to have ended.
+// Broken records that a server has broken an exchange off before it had answered: before
+// the first event or just after it. The prompt becomes evidence if the server turns out to have ended.
 func (q *Quarantine) Broken(prompt Prompt, server, address string, sentAt time.Time) {
 	if len(prompt.Parts) == 0 || time.Since(sentAt) < minExecution {
 		return
