Play restarts and cuts from the store in the simulation of crashing prompts

Entries restart or are cut off from the store for 4 s, one a second on average; sends count of entries that were not disturbed within the last 3 s, as the users' rule has it.

--- a/policy/poison/group_test.go
+++ b/policy/poison/group_test.go
@@ -1,10 +1,13 @@
 package poison
 
 import (
+	"cmp"
 	"container/heap"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +22,7 @@
 	firstParts    int     // Number of parts with which prompts begin.
 	subjects      int     // Number of second parts, which crashing prompts have as well.
 	organisations int
+	faults        bool // Entries restart and are cut off from the store all the time.
 }
 
 const (
@@ -37,6 +41,10 @@
 	mostRefused     = 0.05 // Sound requests refused by an accusation, of all that were decided.
 	badPart         = "bad"
 	tickIntervalSim = 500 * time.Millisecond
+
+	faultInterval = time.Second     // Mean time between faults.
+	cutTime       = 4 * time.Second // How long an entry is cut off from the store.
+	relistTime    = time.Second     // From the end of a cut, or a start, until the entry has read the records.
 )
 
 type simRequest struct {
@@ -53,6 +61,9 @@
 	load     groupLoad
 	random   *rand.Rand
 	states   []State
+	rows     map[string]Row // The store.
+	cutUntil []time.Time    // By entry.
+	faultyAt []time.Time    // Until when each entry has last been disturbed.
 	version  uint64
 	now      time.Time
 	pending  agenda
@@ -64,7 +75,7 @@
 	running     []simRequest
 
 	crashes     []time.Time
-	badSends    []time.Time
+	badSends    []time.Time // By entries that had not been disturbed within contactTime.
 	decided     int
 	refused     int
 	explanation string
@@ -104,15 +115,57 @@
 		if !ok {
 			continue
 		}
+		name := fmt.Sprint(entry)
+		if s.cut(entry) || s.rows[name].Version != write.Version {
+			s.after(maxRecordDelay, func() { s.step(entry, RecordWritten{Err: errors.New("not written")}) })
+			continue
+		}
 		s.version++
-		row := Row{Entry: fmt.Sprint(entry), Version: s.version, Record: write.Record}
+		row := Row{Entry: name, Version: s.version, Record: write.Record}
+		s.rows[name] = row
 		for other := range s.states {
-			s.after(time.Duration(s.random.Int64N(int64(maxRecordDelay))), func() { s.step(other, RowRead{Row: row}) })
+			s.after(time.Duration(s.random.Int64N(int64(maxRecordDelay))), func() {
+				if !s.cut(other) {
+					s.step(other, RowRead{Row: row})
+				}
+			})
 		}
 		s.after(maxRecordDelay/10, func() { s.step(entry, RecordWritten{}) })
 	}
 }
 
+func (s *simulation) cut(entry int) bool { return s.now.Before(s.cutUntil[entry]) }
+
+// list makes an entry read the records, later if it is cut off.
+func (s *simulation) list(entry int) {
+	if s.cut(entry) {
+		s.after(s.cutUntil[entry].Sub(s.now)+relistTime, func() { s.list(entry) })
+		return
+	}
+	var rows []Row
+	for _, row := range s.rows {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Entry, b.Entry) })
+	s.step(entry, RowsListed{Rows: rows})
+}
+
+// disturb restarts a random entry or cuts it off from the store, and schedules the next
+// fault.
+func (s *simulation) disturb() {
+	s.after(time.Duration(s.random.ExpFloat64()*float64(faultInterval)), s.disturb)
+	entry := s.random.IntN(s.load.entries)
+	s.faultyAt[entry] = s.now
+	if s.random.IntN(2) == 0 {
+		s.states[entry] = New(fmt.Sprint(entry))
+		s.after(relistTime, func() { s.list(entry) })
+		return
+	}
+	s.cutUntil[entry] = s.now.Add(cutTime)
+	s.faultyAt[entry] = s.cutUntil[entry]
+	s.after(cutTime+relistTime, func() { s.list(entry) })
+}
+
 // arrive makes one request arrive and schedules the next one.
 func (s *simulation) arrive(bad bool) {
 	rate := s.load.perSecond
@@ -151,7 +204,7 @@
 		}
 		return
 	}
-	if request.bad {
+	if request.bad && s.now.Sub(s.faultyAt[request.entry]) > contactTime {
 		s.badSends = append(s.badSends, s.now)
 	}
 	request.server = s.random.IntN(groupServers)
@@ -245,6 +298,11 @@
 
 func (s *simulation) run() {
 	s.now = start
+	s.rows = map[string]Row{}
+	s.cutUntil, s.faultyAt = make([]time.Time, s.load.entries), make([]time.Time, s.load.entries)
+	if s.load.faults {
+		s.after(0, s.disturb)
+	}
 	for entry := range s.load.entries {
 		s.states = append(s.states, New(fmt.Sprint(entry)))
 		s.step(entry, RowsListed{})
@@ -269,6 +327,8 @@
 		"often":                               {entries: 4, perSecond: 57, badPerSecond: 8, firstParts: 60, subjects: 40, organisations: 10},
 		"rarely":                              {entries: 4, perSecond: 57, badPerSecond: 0.3, firstParts: 60, subjects: 40, organisations: 10},
 		"few shared parts":                    {entries: 4, perSecond: 57, badPerSecond: 2, firstParts: 1, subjects: 3, organisations: 10},
+		"entries restart and are cut off":     {entries: 4, perSecond: 57, badPerSecond: 2, firstParts: 60, subjects: 40, organisations: 10, faults: true},
+		"the same, often, with 12 entries":    {entries: 12, perSecond: 57, badPerSecond: 8, firstParts: 60, subjects: 40, organisations: 10, faults: true},
 		"53 entries":                          {entries: 53, perSecond: 200, badPerSecond: 4, firstParts: 180, subjects: 1000, organisations: 40},
 		"330 entries, each sees few prompts":  {entries: 330, perSecond: 200, badPerSecond: 4, firstParts: 60, subjects: 100, organisations: 10},
 		"330 entries, many crashing requests": {entries: 330, perSecond: 200, badPerSecond: 12, firstParts: 60, subjects: 100, organisations: 10},
