Keep the crashes that count when many servers are lost at once

Found by asking what a loss of many servers does to the evidence: an entry that sees over eight servers end dropped its oldest crashes, among them those by which a part is accused, and requests with that part were sent again. Now the oldest crash is dropped that counts for no verdict. The new case of TestOrganisations failed before.

--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -153,7 +153,7 @@
 	switch event := input.Event.(type) {
 	case CrashObserved:
 		event.Crash.At = wireTime(event.Crash.At)
-		state.own.addCrash(event.Crash)
+		state.own.addCrash(event.Crash, state.Verdicts)
 		state, effects = state.judge(input)
 	case Answered:
 		if watched := state.answered(event, input.Now); !watched {
@@ -213,7 +213,7 @@
 	}
 	s.listed = true
 	for _, crash := range s.rows[s.entry].Record.Crashes {
-		s.own.addCrash(crash)
+		s.own.addCrash(crash, s.Verdicts)
 	}
 	for _, clearance := range s.rows[s.entry].Record.Clearances {
 		s.own.addClearance(clearance)
--- a/policy/poison/poison_test.go
+++ b/policy/poison/poison_test.go
@@ -239,6 +239,22 @@
 		So(len(f.states["e1"].sound.byPart), ShouldBeLessThanOrEqualTo, soundOrganisations*soundPartsEach)
 		So(f.states["e1"].sound.byPart[partKey{"s", "common"}], ShouldHaveLength, soundOrganisations)
 	})
+	Convey("The end of many servers at once displaces no evidence that counts", t, func() {
+		f := newFleet("e1", "e2")
+		for i := range 3 {
+			f.crash("e1", fmt.Sprint("i-", i), suspect("o", "bad"))
+			f.pass(betweenCrashes)
+		}
+		for i := range 40 {
+			f.crash("e1", fmt.Sprint("lost-", i), suspect("o", fmt.Sprint("subject", i)))
+		}
+		f.pass(time.Second)
+		f.join("e3")
+		for _, entry := range []string{"e1", "e2", "e3"} {
+			So(f.refuses(entry, "o", "bad"), ShouldBeTrue)
+		}
+		So(len(f.rows["e1"].Record.Crashes), ShouldBeLessThanOrEqualTo, maxCrashes)
+	})
 	Convey("Another service's servers say nothing of a part", t, func() {
 		f := newFleet("e1")
 		for i := range 2 {
--- a/policy/poison/record.go
+++ b/policy/poison/record.go
@@ -5,14 +5,16 @@
 	"time"
 )
 
-// addCrash adds a crash, or its suspects if the crash is known.
-func (r *Record) addCrash(crash Crash) {
+// addCrash adds a crash, or its suspects if the crash is known. If there are too many, the
+// oldest one is dropped that counts for no verdict: many servers may be lost at once.
+func (r *Record) addCrash(crash Crash, verdicts *Verdicts) {
 	i := slices.IndexFunc(r.Crashes, func(known Crash) bool { return known.Service == crash.Service && known.Server == crash.Server })
 	if i < 0 {
 		crash.Suspects = bounded(crash.Suspects)
 		r.Crashes = append(slices.Clone(r.Crashes), crash)
 		if len(r.Crashes) > maxCrashes {
-			r.Crashes = r.Crashes[len(r.Crashes)-maxCrashes:]
+			dropped := max(0, slices.IndexFunc(r.Crashes, func(crash Crash) bool { return !verdicts.countsFor(crash) }))
+			r.Crashes = slices.Delete(r.Crashes, dropped, dropped+1)
 		}
 		return
 	}
--- a/policy/poison/verdict.go
+++ b/policy/poison/verdict.go
@@ -81,6 +81,16 @@
 	return "", Accusation{}, false
 }
 
+// countsFor reports whether a part of a suspect of the crash is accused.
+func (v *Verdicts) countsFor(crash Crash) bool {
+	return slices.ContainsFunc(crash.Suspects, func(suspect Suspect) bool {
+		return slices.ContainsFunc(suspect.Parts, func(part string) bool {
+			_, accused := v.accused[partKey{crash.Service, part}]
+			return accused
+		})
+	})
+}
+
 // Len returns the number of accused parts.
 func (v *Verdicts) Len() int { return len(v.accused) }
 
