Ignore records of crashes from a clock far ahead

Records over a minute ahead count for nothing now; the new case of TestTravel failed before. Rows that are removed leave the state.

--- a/policy/poison/clearance.go
+++ b/policy/poison/clearance.go
@@ -30,7 +30,7 @@
 	if s.clearAt.IsZero() || now.Before(s.clearAt) {
 		return s, false
 	}
-	cleared := s.clearances()
+	cleared := s.clearances(now)
 	for _, clearance := range s.publishable(accusedByRecords(s.crashes(now), cleared), cleared) {
 		s.own.addClearance(clearance)
 	}
@@ -56,12 +56,14 @@
 				found = append(found, Clearance{key.service, organisation, key.part, at})
 			}
 		}
-		slices.SortFunc(found, func(a, b Clearance) int {
-			aAccused, bAccused := slices.Contains(accusation.Organisations, a.Organisation), slices.Contains(accusation.Organisations, b.Organisation)
-			if aAccused != bAccused {
-				return map[bool]int{true: -1, false: 1}[aAccused]
+		rank := func(clearance Clearance) int {
+			if slices.Contains(accusation.Organisations, clearance.Organisation) {
+				return 0
 			}
-			return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Organisation, b.Organisation))
+			return 1
+		}
+		slices.SortFunc(found, func(a, b Clearance) int {
+			return cmp.Or(cmp.Compare(rank(a), rank(b)), b.At.Compare(a.At), cmp.Compare(a.Organisation, b.Organisation))
 		})
 		missing = append(missing, found[:min(len(found), clearingOrganisations)]...)
 	}
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -26,6 +26,9 @@
 	maxClearances = 64
 	// maxSuspectParts bounds the parts of one crash in a record.
 	maxSuspectParts = 192
+	// maxClockSkew is how far an entry's time of day may be ahead of another's for its
+	// records to count.
+	maxClockSkew = time.Minute
 	// writeBackoff is the time after a failed write of the record until the next one.
 	writeBackoff = 300 * time.Millisecond
 	// judgeInterval is how often evidence that has not changed is judged anew, as it grows
@@ -170,6 +173,9 @@
 		state, effects = state.judge(input)
 	case RowRead:
 		state.rows[event.Row.Entry] = event.Row
+		if event.Row.Version == 0 {
+			delete(state.rows, event.Row.Entry)
+		}
 		if event.Row.Entry == state.entry {
 			state.nextWrite = input.Now
 		}
--- a/policy/poison/poison_test.go
+++ b/policy/poison/poison_test.go
@@ -310,6 +310,19 @@
 		f.list("e2")
 		So(f.refuses("e2", "o", "bad"), ShouldBeTrue)
 	})
+	Convey("Records of a clock that is far ahead count neither for nor against a part", t, func() {
+		f := newFleet("e1", "e2")
+		accuse(f, 2)
+		later := f.now.Add(24 * time.Hour)
+		f.step("e2", RowRead{Row: Row{Entry: "e3", Version: 1000, Record: Record{Clearances: []Clearance{{"s", "o", "bad", later}}}}})
+		So(f.refuses("e2", "o", "bad"), ShouldBeTrue)
+		var crashes []Crash
+		for i := range 5 {
+			crashes = append(crashes, Crash{Service: "s", Server: fmt.Sprint("x-", i), At: later, Suspects: []Suspect{suspect("o", "sound")}})
+		}
+		f.step("e2", RowRead{Row: Row{Entry: "e3", Version: 1001, Record: Record{Crashes: crashes}}})
+		So(f.refuses("e2", "o", "sound"), ShouldBeFalse)
+	})
 	Convey("A clock that is ahead keeps no part accused that is answered later", t, func() {
 		f := newFleet("e1")
 		for i := range 2 {
--- a/policy/poison/verdict.go
+++ b/policy/poison/verdict.go
@@ -98,7 +98,7 @@
 func (s State) judge(input reduce.Input) (State, []reduce.Effect) {
 	now := input.Now
 	known := s.crashes(now)
-	cleared := s.clearances()
+	cleared := s.clearances(now)
 	accused := accusations(known, func(key partKey) map[string]time.Time {
 		answered := s.sound.organisations(key)
 		for organisation, at := range cleared[key] {
@@ -211,10 +211,10 @@
 	merged := map[incarnation]Crash{}
 	add := func(record Record) {
 		for _, crash := range record.Crashes {
-			if now.Sub(crash.At) > evidenceTTL {
+			if now.Sub(crash.At) > evidenceTTL || crash.At.Sub(now) > maxClockSkew {
 				continue
 			}
-			// A clock that is ahead must not outdate later clearances.
+			// A clock that is a little ahead must not outdate later clearances.
 			crash.At = earliest(crash.At, now)
 			key := incarnation{crash.Service, crash.Server}
 			if known, ok := merged[key]; ok {
@@ -237,10 +237,13 @@
 
 // clearances returns the times of the latest clearances of each part in all records, by
 // organisation.
-func (s State) clearances() map[partKey]map[string]time.Time {
+func (s State) clearances(now time.Time) map[partKey]map[string]time.Time {
 	cleared := map[partKey]map[string]time.Time{}
 	add := func(record Record) {
 		for _, clearance := range record.Clearances {
+			if clearance.At.Sub(now) > maxClockSkew {
+				continue
+			}
 			key := partKey{clearance.Service, clearance.Part}
 			if cleared[key] == nil {
 				cleared[key] = map[string]time.Time{}
