--- a/server/gateway/ended_servers_test.go
+++ b/server/gateway/ended_servers_test.go
@@ -76,46 +76,36 @@
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 200) // The last part belongs to the request alone.
 	})
-	Convey("A request that waits for a server is refused as soon as the guard says so", t, func() {
-		b := newBackend("b1", func(_ int, w http.ResponseWriter, _ *http.Request) {
-			time.Sleep(500 * time.Millisecond)
-			writeEvents(w, 1, 2, true)
-		})
-		s := newSystem(b)
-		defer s.close(b)
-		s.gateway.guard = refusingQueue{}
-		var others sync.WaitGroup
-		for range 4 { // As many as the server has slots.
-			others.Go(func() { _, _, _ = s.send("POST", "/stream/x", "", nil) })
-		}
-		time.Sleep(100 * time.Millisecond)
-		sentAt := time.Now()
-		response, _, err := s.send("POST", "/stream/x", "", withPrompt("aa:40,cc:7"))
-		So(err, ShouldBeNil)
-		So(response.StatusCode, ShouldEqual, 503)
-		So(time.Since(sentAt), ShouldBeLessThan, 200*time.Millisecond)
-		others.Wait()
-	})
-	Convey("A prompt that the guard refuses does not wait for a server first", t, func() {
-		b := newBackend("b1", func(_ int, w http.ResponseWriter, _ *http.Request) {
-			time.Sleep(500 * time.Millisecond)
-			writeEvents(w, 1, 2, true)
+	waiting := map[string]struct {
+		guard Guard
+		parts string
+	}{
+		"A request that waits for a server is refused as soon as the guard says so": {refusingQueue{}, "aa:40,cc:7"},
+		"A prompt that the guard refuses does not wait for a server before it is":   {&recordingGuard{}, "aa:40,bad0:200,cc:7"},
+	}
+	for name, c := range waiting {
+		Convey(name, t, func() {
+			const slots = 4
+			b := newBackend("b1", func(_ int, w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(500 * time.Millisecond)
+				writeEvents(w, 1, 2, true)
+			})
+			s := newSystem(b)
+			defer s.close(b)
+			s.gateway.guard = c.guard
+			var others sync.WaitGroup
+			for range slots {
+				others.Go(func() { _, _, _ = s.send("POST", "/stream/x", "", nil) })
+			}
+			time.Sleep(100 * time.Millisecond)
+			sentAt := time.Now()
+			response, _, err := s.send("POST", "/stream/x", "", withPrompt(c.parts))
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, 503)
+			So(time.Since(sentAt), ShouldBeLessThan, 200*time.Millisecond)
+			others.Wait()
 		})
-		s := newSystem(b)
-		defer s.close(b)
-		s.gateway.guard = &recordingGuard{}
-		var others sync.WaitGroup
-		for range 4 { // As many as the server has slots.
-			others.Go(func() { _, _, _ = s.send("POST", "/stream/x", "", nil) })
-		}
-		time.Sleep(100 * time.Millisecond)
-		sentAt := time.Now()
-		response, _, err := s.send("POST", "/stream/x", "", withPrompt("aa:40,bad0:200,cc:7"))
-		So(err, ShouldBeNil)
-		So(response.StatusCode, ShouldEqual, 503)
-		So(time.Since(sentAt), ShouldBeLessThan, 200*time.Millisecond)
-		others.Wait()
-	})
+	}
 	Convey("Only requests that have not been answered are reported as broken, and the others as answered", t, func() {
 		cases := []struct {
 			name             string
