Keep the platform's words of a test's configuration in the adapter; reword two comments

The test of deployed entries spelled the platform's name for organisations; the fakes of the platform do now.

--- a/policy/dispatch/named_limit.go
+++ b/policy/dispatch/named_limit.go
@@ -30,8 +30,8 @@
 	next    time.Time // The entry's next turn if it is ahead; found by nextAt.
 }
 
-// newLimitShare returns the share of an entry that has just heard of a limit. Its
-// requests of late have used up the bucket.
+// newLimitShare returns a share with an empty bucket: the entry has just sent requests to
+// the server.
 func newLimitShare(now time.Time) *limitShare {
 	bucket := rate.NewLimiter(0, 1)
 	bucket.AllowN(now, 1)
--- a/server/deployed/fleet_test.go
+++ b/server/deployed/fleet_test.go
@@ -65,8 +65,7 @@
 	f := &fleet{t: t, network: fmt.Sprintf("127.%d.251", 64+os.Getpid()%128), store: platformtest.NewStore(), limits: map[int]string{}, arrived: map[int][]time.Time{}}
 	storeServer := httptest.NewServer(f.store)
 	config := platformtest.Configuration(1, platformtest.Shape{Ranks: fleetEngines, Sets: 2, Experts: 16, Places: 6}, false)
-	config["tenants"] = []any{map[string]any{"name": "org-a", "api_keys": []any{fleetKey}}}
-	config["routes"].([]any)[0].(map[string]any)["public"] = false
+	platformtest.RequireKey(config, "org-a", fleetKey)
 	f.put(platform.TableOperators, platformtest.ConfigurationKey, config)
 	for i := range fleetEngines {
 		f.startEngine(i, 0)
--- a/server/upstream/upstream_test.go
+++ b/server/upstream/upstream_test.go
@@ -301,7 +301,7 @@
 			_, err := roundTrip(NewPool(Dial), s.address(), "1")
 			So(err, ShouldNotBeNil)
 			<-ended
-			// The sockets on both sides hold some of it.
+			// Includes the bytes in socket buffers.
 			So(written.Load(), ShouldBeLessThan, 16*allowed)
 		})
 	}
