--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/policy/dispatch"
+	"persimmonwind.dev/policy/poison"
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/policy/retry"
 	"persimmonwind.dev/policy/topology"
@@ -52,6 +53,8 @@
 	snapshot  *topology.Snapshot
 	route     *topology.Route
 	body      []byte
+	// fingerprint identifies what the server executes; see poison.Fingerprint.
+	fingerprint string
 
 	organisation *topology.Organisation // The caller; nil for public routes and if no organisations are configured.
 	deadline     time.Time              // The caller's deadline or the end of the route's timeout, whichever is sooner.
@@ -88,6 +91,7 @@
 // run makes attempts until one succeeds or no retry is allowed.
 func (c *call) run() {
 	c.gateway.creditRetryBudget()
+	c.fingerprint = poison.Fingerprint(c.http.Method, c.http.RequestURI, c.organisationName(), c.body)
 	defer c.releaseBuffers()
 	ctx, cancel := context.WithDeadline(c.http.Context(), c.deadline)
 	defer cancel()
@@ -155,6 +159,7 @@
 	return logrus.Fields{
 		"end": string(c.end), "events": c.relayedEvents - c.eventsBefore, "sent_ms": time.Since(c.sentAt).Milliseconds(),
 		"group_closed": c.groupClosed, "organisation": c.organisationName(), "parts": c.request.SharedParts,
+		"fingerprint": c.fingerprint,
 	}
 }
 
@@ -231,7 +236,7 @@
 
 // prompt returns what is known of the request's prompt.
 func (c *call) prompt(service string) quarantine.Prompt {
-	return quarantine.Prompt{Service: service, Organisation: c.organisationName(), Parts: c.request.SharedParts}
+	return quarantine.Prompt{Service: service, Organisation: c.organisationName(), Parts: c.request.SharedParts, Fingerprint: c.fingerprint}
 }
 
 // acquire returns the dispatcher's decision about the request. It returns a
--- a/server/gateway/ended_servers_test.go
+++ b/server/gateway/ended_servers_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"persimmonwind.dev/platform/header"
+	"persimmonwind.dev/policy/poison"
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/quarantine"
@@ -138,7 +139,9 @@
 			So(c.name+fmt.Sprint(len(guard.broken) > 0), ShouldEqual, c.name+fmt.Sprint(c.broken > 0))
 			So(c.name+fmt.Sprint(len(guard.answered) > 0), ShouldEqual, c.name+fmt.Sprint(c.answered > 0))
 			for _, prompt := range append(guard.broken, guard.answered...) {
-				So(prompt, ShouldResemble, quarantine.Prompt{Service: "s", Organisation: "org-a", Parts: []string{"aa", "bb"}})
+				So(prompt, ShouldResemble, quarantine.Prompt{
+					Service: "s", Organisation: "org-a", Parts: []string{"aa", "bb"}, Fingerprint: poison.Fingerprint("POST", "/stream/x", "org-a", nil),
+				})
 			}
 			guard.mu.Unlock()
 			s.close(first, second)
@@ -146,8 +149,8 @@
 	})
 }
 
-func TestLogTellsHowAnExchangeEndedAndThePartsOfItsPrompt(t *testing.T) {
-	Convey("The line of an attempt whose server closes the connection tells the parts but the last", t, func() {
+func TestLogTellsHowAnExchangeEndedAndWhichRequestItWas(t *testing.T) {
+	Convey("The line of an attempt whose server closes the connection tells the parts but the last, and the fingerprint", t, func() {
 		b := newBackend("b1", func(n int, w http.ResponseWriter, _ *http.Request) {
 			if n == 1 {
 				panic(http.ErrAbortHandler)
@@ -169,6 +172,7 @@
 			So(entry.Data["events"], ShouldEqual, 0)
 			So(entry.Data["organisation"], ShouldEqual, "org-a")
 			So(fmt.Sprint(entry.Data["parts"]), ShouldEqual, "[aa bb]")
+			So(entry.Data["fingerprint"], ShouldEqual, poison.Fingerprint("POST", "/stream/x", "org-a", nil))
 		}
 		So(lines, ShouldEqual, 1)
 	})
--- a/server/quarantine/quarantine.go
+++ b/server/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +40,8 @@
 	// minExecution is the shortest time in which a server reads a prompt and begins to
 	// answer it. A request sent later than that before a crash is no suspect.
 	minExecution = 5 * time.Millisecond
+	// maxLoggedSuspects bounds a log line about a server that has ended.
+	maxLoggedSuspects = 16
 
 	// tickInterval is how often expired evidence is dropped and failed writes are repeated.
 	tickInterval = 500 * time.Millisecond
@@ -68,6 +71,7 @@
 type Prompt struct {
 	Service, Organisation string
 	Parts                 []string // Hashes of the parts that other requests may share.
+	Fingerprint           string   // Of the request; see poison.Fingerprint.
 }
 
 // Quarantine is the quarantine of one entry. It is safe for concurrent use.
@@ -89,9 +93,10 @@
 
 // suspicion is a server that may have ended, with the requests that it had.
 type suspicion struct {
-	suspects []poison.Suspect
-	since    time.Time
-	checked  bool
+	suspects     []poison.Suspect
+	fingerprints []string // Of the suspects.
+	since        time.Time
+	checked      bool
 }
 
 // waiter is a request that waits in a queue.
@@ -170,7 +175,7 @@
 // Broken records that a server has broken an exchange off before it had answered: before
 // the first event or just after it. The prompt becomes evidence if the server turns out to have ended.
 func (q *Quarantine) Broken(prompt Prompt, server, address string, sentAt time.Time) {
-	if len(prompt.Parts) == 0 || time.Since(sentAt) < minExecution {
+	if time.Since(sentAt) < minExecution {
 		return
 	}
 	suspect := poison.Suspect{Organisation: prompt.Organisation, Parts: prompt.Parts}
@@ -179,10 +184,11 @@
 	if known := q.suspicions[server]; known != nil {
 		if !known.checked {
 			known.suspects = append(known.suspects, suspect)
+			known.fingerprints = append(known.fingerprints, prompt.Fingerprint)
 		}
 		return
 	}
-	q.suspicions[server] = &suspicion{suspects: []poison.Suspect{suspect}, since: time.Now()}
+	q.suspicions[server] = &suspicion{suspects: []poison.Suspect{suspect}, fingerprints: []string{prompt.Fingerprint}, since: time.Now()}
 	time.AfterFunc(confirmDelay, func() { q.confirm(prompt.Service, server, address) })
 }
 
@@ -198,14 +204,15 @@
 	q.mu.Lock()
 	suspicion := q.suspicions[server]
 	suspicion.checked = true
-	suspects := suspicion.suspects
+	suspects, fingerprints := suspicion.suspects, suspicion.fingerprints
 	q.mu.Unlock()
-	fields := logrus.Fields{"server": server, "service": service, "address": address, "ended": ended, "suspects": len(suspects)}
+	fields := logrus.Fields{"server": server, "service": service, "address": address, "ended": ended, "suspects": len(suspects), "fingerprints": fingerprints[:min(len(fingerprints), maxLoggedSuspects)]}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
 	logevent.Write(q.log, logevent.BrokenServerChecked, fields)
-	if ended {
+	comparable := slices.ContainsFunc(suspects, func(suspect poison.Suspect) bool { return len(suspect.Parts) > 0 })
+	if ended && comparable {
 		q.metrics.crashes.Inc()
 		q.loop.Post(poison.CrashObserved{Crash: poison.Crash{Service: service, Server: server, At: suspicion.since, Suspects: suspects}})
 	}
