--- a/server/deployed/fleet_test.go
+++ b/server/deployed/fleet_test.go
@@ -25,7 +25,9 @@
 const (
 	fleetEntries = 4
 	fleetEngines = 8
+	fleetPlain   = 3 // Servers of the plain service, numbered after the engines.
 	engineSlots  = 12
+	plainSlots   = 6
 	metricsPort  = 9464
 	fleetKey     = "key-of-org-a"
 	// contactTime is the time within which entries must know what the fleet has shown, as
@@ -33,12 +35,15 @@
 	contactTime = 3 * time.Second
 	// crashingPart is the part of prompts that crashes engines.
 	crashingPart = "bad0bad0"
-	// engineRestart is the time after which a crashed engine is back.
-	engineRestart = 600 * time.Millisecond
+	// crashingTarget ends the target of requests that crash servers.
+	crashingTarget = "/crash"
+	// restartTime is the time after which a crashed server is back.
+	restartTime = 600 * time.Millisecond
 )
 
-// fleet is a store, engines and entries on loopback addresses of their own. Engines
-// crash as they begin to answer a prompt with crashingPart.
+// fleet is a store, engines, plain servers and entries on loopback addresses of their own.
+// Servers crash as they begin to answer a prompt with crashingPart or a request for
+// crashingTarget.
 type fleet struct {
 	t       *testing.T
 	network string // First three octets of the addresses.
@@ -47,13 +52,13 @@
 
 	mu      sync.Mutex
 	crashes []time.Time
-	reached []time.Time         // When prompts with crashingPart reached engines.
+	reached []time.Time         // When requests that crash servers reached them.
 	limits  map[int]string      // The limits that engines name, by number.
 	arrived map[int][]time.Time // When requests reached the engines that named a limit then, by number.
 }
 
-// engine is one incarnation of an engine.
-type engine struct {
+// server is one incarnation of an engine or a plain server.
+type server struct {
 	platformtest.Server
 	fleet   *fleet
 	address string
@@ -67,8 +72,8 @@
 	config := platformtest.Configuration(1, platformtest.Shape{Ranks: fleetEngines, Sets: 2, Experts: 16, Places: 6}, false)
 	platformtest.RequireKey(config, "org-a", fleetKey)
 	f.put(platform.TableOperators, platformtest.ConfigurationKey, config)
-	for i := range fleetEngines {
-		f.startEngine(i, 0)
+	for i := range fleetEngines + fleetPlain {
+		f.startServer(i, 0)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -128,37 +133,41 @@
 	}
 }
 
-// startEngine starts the engine's incarnation with the number.
-func (f *fleet) startEngine(number, incarnation int) {
+// startServer starts the server's incarnation with the number.
+func (f *fleet) startServer(number, incarnation int) {
 	address := fmt.Sprintf("%s.%d:9100", f.network, 101+number)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		f.t.Errorf("start engine: %v", err)
+		f.t.Errorf("start server: %v", err)
 		return
 	}
-	e := &engine{
+	service := platformtest.EngineService
+	e := &server{
 		Server: platformtest.Server{
 			ID: fmt.Sprintf("i-%d-%d", number, incarnation), Slots: engineSlots, ExecutionLog: platformtest.NewExecutionLog(),
 			Group: platformtest.NewGroup(platformtest.Shape{Ranks: 1, Sets: 1, Experts: 1, Places: 1}, 1),
 		},
 		fleet: f, address: address,
 	}
+	if number >= fleetEngines {
+		service, e.Slots, e.Group = platformtest.PlainService, plainSlots, nil
+	}
 	e.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, number, incarnation) })}
 	go func() { _ = e.http.Serve(listener) }()
 	f.t.Cleanup(func() { _ = e.http.Close() })
-	f.put(platform.TableServers, e.ID, platformtest.ServerRow(platformtest.EngineService, address, "dc-0", engineSlots, false))
+	f.put(platform.TableServers, e.ID, platformtest.ServerRow(service, address, "dc-0", e.Slots, false))
 }
 
-// serve answers a request, or crashes at the time at which the first event of the answer
-// is due if the prompt holds crashingPart. The engine restarts under a new ID.
-func (e *engine) serve(w http.ResponseWriter, r *http.Request, number, incarnation int) {
+// serve answers a request, or crashes while it does if the request is one that crashes
+// servers. The server restarts under a new ID.
+func (e *server) serve(w http.ResponseWriter, r *http.Request, number, incarnation int) {
 	e.fleet.mu.Lock()
 	if limit := e.fleet.limits[number]; limit != "" {
 		w.Header().Set(header.Limit, limit)
 		e.fleet.arrived[number] = append(e.fleet.arrived[number], time.Now())
 	}
 	e.fleet.mu.Unlock()
-	if !strings.Contains(r.Header.Get(header.Prefix), crashingPart) {
+	if !strings.Contains(r.Header.Get(header.Prefix), crashingPart) && !strings.HasSuffix(r.URL.Path, crashingTarget) {
 		e.ServeHTTP(w, r)
 		return
 	}
@@ -173,17 +182,23 @@
 		go func() {
 			_ = e.http.Close()
 			e.fleet.store.Remove(platform.TableServers, e.ID)
-			time.Sleep(engineRestart)
-			e.fleet.startEngine(number, incarnation+1)
+			time.Sleep(restartTime)
+			e.fleet.startServer(number, incarnation+1)
 		}()
 	})
 	<-r.Context().Done()
 }
 
-// send sends a prompt with the parts to a random entry and reports whether it was
-// answered completely at the first attempt.
+// send sends a prompt with the parts and a last one of its own to a random entry and
+// reports whether it was answered completely at the first attempt.
 func (f *fleet) send(client *http.Client, random *rand.Rand, parts ...string) bool {
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[random.IntN(len(f.entries))]+"/stream/x", nil)
+	return f.sendTo(client, random, fmt.Sprintf("/stream/%08x", random.Uint32()), append(parts, fmt.Sprintf("%08x", random.Uint32()))...)
+}
+
+// sendTo sends a request for the target, with the parts if it is a prompt, to a random
+// entry and reports whether it was answered completely at the first attempt.
+func (f *fleet) sendTo(client *http.Client, random *rand.Rand, target string, parts ...string) bool {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[random.IntN(len(f.entries))]+target, nil)
 	if err != nil {
 		f.t.Error(err)
 		return false
@@ -192,14 +207,17 @@
 	request.Header.Set(header.AttemptID, fmt.Sprintf("%016x", random.Uint64()))
 	request.Header.Set(header.Authorization, "Token "+fleetKey)
 	request.Header.Set(header.Deadline, "3000")
-	request.Header.Set(header.Prefix, strings.Join(append(parts, fmt.Sprintf("%08x", random.Uint32())), ":40,")+":200")
+	if len(parts) > 0 {
+		request.Header.Set(header.Prefix, strings.Join(parts, ":40,")+":200")
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strings.Count(string(body), "id: ") == platformtest.StreamEvents
+	complete := len(parts) == 0 || strings.Count(string(body), "id: ") == platformtest.StreamEvents
+	return err == nil && response.StatusCode == http.StatusOK && complete
 }
 
 // firstParts and subjects are parts that sound prompts share with those that crash
