--- a/policy/poison/clearance.go
+++ b/policy/poison/clearance.go
@@ -8,13 +8,13 @@
 	"persimmonwind.dev/policy/reduce"
 )
 
-// clearanceSpread is the time over which entries publish clearances of the same part, so
+// clearanceSpread is the time over which entries publish clearances of the same trait, so
 // that the first ones spare the others the write.
 const clearanceSpread = time.Second
 
 // scheduleClearances chooses a time for publishing clearances if the records accuse a
-// part that this entry has seen answered since.
-func (s State) scheduleClearances(accused map[partKey]Accusation, cleared map[partKey]map[string]time.Time, input reduce.Input) State {
+// trait that this entry has seen answered since.
+func (s State) scheduleClearances(accused map[traitKey]Accusation, cleared map[traitKey]map[string]time.Time, input reduce.Input) State {
 	if len(s.publishable(accused, cleared)) == 0 {
 		s.clearAt = time.Time{}
 	} else if s.clearAt.IsZero() {
@@ -37,23 +37,23 @@
 	return s, true
 }
 
-// accusedByRecords returns the parts that the records accuse, without what this entry
+// accusedByRecords returns the traits that the records accuse, without what this entry
 // has seen answered but not published.
-func accusedByRecords(crashes []Crash, cleared map[partKey]map[string]time.Time) map[partKey]Accusation {
-	return accusations(crashes, func(key partKey) map[string]time.Time { return cleared[key] })
+func accusedByRecords(crashes []Crash, cleared map[traitKey]map[string]time.Time) map[traitKey]Accusation {
+	return accusations(crashes, func(key traitKey) map[string]time.Time { return cleared[key] })
 }
 
-// publishable returns the clearances that are missing in the records: of the parts that
-// they accuse, for organisations to whom this entry has seen them answered after a crash
+// publishable returns the clearances that are missing in the records: of the traits
+// that they accuse, for organisations to whom this entry has seen them answered after a crash
 // that counts; the accused ones first.
-func (s State) publishable(accused map[partKey]Accusation, cleared map[partKey]map[string]time.Time) []Clearance {
+func (s State) publishable(accused map[traitKey]Accusation, cleared map[traitKey]map[string]time.Time) []Clearance {
 	var missing []Clearance
 	for key, accusation := range accused {
 		var found []Clearance
 		for organisation, at := range s.sound.organisations(key) {
 			at = wireTime(at)
 			if at.After(accusation.FirstCrash) && at.After(cleared[key][organisation]) {
-				found = append(found, Clearance{key.service, organisation, key.part, at})
+				found = append(found, Clearance{key.service, organisation, key.trait, at})
 			}
 		}
 		rank := func(clearance Clearance) int {
--- a/policy/poison/group_test.go
+++ b/policy/poison/group_test.go
@@ -201,10 +201,10 @@
 	if !request.bad {
 		s.decided++
 	}
-	if part, accusation, found := s.states[request.entry].Verdicts.Find("s", request.organisation, request.parts, s.now); found {
+	if trait, accusation, found := s.states[request.entry].Verdicts.Find("s", request.suspect(), s.now); found {
 		if !request.bad {
 			s.refused++
-			s.explanation = fmt.Sprintf("%s of %s: %+v", part, request.organisation, accusation)
+			s.explanation = fmt.Sprintf("%s of %s: %+v", trait.ID, request.organisation, accusation)
 		}
 		return
 	}
@@ -225,7 +225,7 @@
 	for i, other := range s.running {
 		if &other.parts[0] == &request.parts[0] {
 			s.running = append(s.running[:i:i], s.running[i+1:]...)
-			s.step(request.entry, Answered{"s", request.organisation, request.parts})
+			s.step(request.entry, Answered{"s", request.suspect()})
 			return
 		}
 	}
@@ -269,7 +269,7 @@
 func (s *simulation) stall() []simRequest {
 	for _, request := range s.running {
 		if !request.bad && s.random.IntN(2) == 0 {
-			s.after(stallTime, func() { s.step(request.entry, Answered{"s", request.organisation, request.parts}) })
+			s.after(stallTime, func() { s.step(request.entry, Answered{"s", request.suspect()}) })
 		}
 	}
 	return s.running
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -1,14 +1,15 @@
-// Package poison finds the parts of prompts that crash the backend servers which
-// execute them, from what the requests had in common that were at servers which ended.
+// Package poison finds the requests that crash the backend servers which execute them, and
+// the parts of prompts that do, from what the requests had in common that were at servers
+// which ended. What requests can have in common is a Trait.
 //
 // Each entry keeps a Record: the crashes that it observed, with the requests that it had
-// there and that had not been answered yet, and the parts that it has seen answered
+// there and that had not been answered yet, and the traits that it has seen answered
 // since. Entries exchange their records through the platform's store; Step reduces all of
-// them to the accused parts.
+// them to the accused traits.
 //
-// Invariants: a part is accused only by crashes after which none of its organisation's
+// Invariants: a trait is accused only by crashes after which none of its organisation's
 // requests with it has been answered; what a single organisation sends neither clears nor
-// accuses a part for others, what two send holds for all; all state is bounded.
+// accuses a trait for others, what two send holds for all; all state is bounded.
 package poison
 
 import (
@@ -24,8 +25,10 @@
 	// store.
 	maxCrashes    = 8
 	maxClearances = 64
-	// maxSuspectParts bounds the parts of one crash in a record.
-	maxSuspectParts = 192
+	// maxSuspectWeight bounds the suspects of one crash in a record: each counts
+	// suspectWeight, and 1 more for each of its parts.
+	maxSuspectWeight = 192
+	suspectWeight    = 3
 	// maxClockSkew is how far an entry's time of day may be ahead of another's for its
 	// records to count.
 	maxClockSkew = time.Minute
@@ -44,6 +47,34 @@
 type Suspect struct {
 	Organisation string
 	Parts        []string // Hashes of the parts of its prompt that other requests may share.
+	Fingerprint  string
+}
+
+// Kind tells what requests with a trait have in common.
+type Kind int
+
+const (
+	PromptPart   Kind = iota // A part of their prompts.
+	WholeRequest             // Everything that the server executes.
+)
+
+// Trait is something that requests have in common.
+type Trait struct {
+	Kind Kind
+	ID   string // Hash of the part, or fingerprint of the request.
+}
+
+// traits returns what other requests may have in common with the suspect, the whole request
+// first.
+func (s Suspect) traits() []Trait {
+	var traits []Trait
+	if s.Fingerprint != "" {
+		traits = append(traits, Trait{WholeRequest, s.Fingerprint})
+	}
+	for _, part := range s.Parts {
+		traits = append(traits, Trait{PromptPart, part})
+	}
+	return traits
 }
 
 // Crash is the end of an incarnation of a server.
@@ -54,10 +85,11 @@
 	Suspects []Suspect
 }
 
-// Clearance tells that a request of an organisation with an accused part was answered.
+// Clearance tells that a request of an organisation with an accused trait was answered.
 type Clearance struct {
-	Service, Organisation, Part string
-	At                          time.Time
+	Service, Organisation string
+	Trait                 Trait
+	At                    time.Time
 }
 
 // Record is what one entry has observed.
@@ -84,8 +116,8 @@
 // Answered reports that a server has answered a request of this entry, or has gone on
 // for a while after it began to.
 type Answered struct {
-	Service, Organisation string
-	Parts                 []string
+	Service string
+	Request Suspect
 }
 
 func (Answered) EventName() string { return "poison.answered" }
@@ -119,35 +151,36 @@
 
 func (RemoveRows) EffectName() string { return "poison.remove_rows" }
 
-// VerdictChanged reports that a part has become accused, is accused of more crashes, or
+// VerdictChanged reports that a trait has become accused, is accused of more crashes, or
 // is no longer accused.
 type VerdictChanged struct {
-	Service, Part string
-	Accusation    Accusation // The new one, or the last one if Cleared is set.
-	Cleared       bool
+	Service    string
+	Trait      Trait
+	Accusation Accusation // The new one, or the last one if Cleared is set.
+	Cleared    bool
 }
 
 func (VerdictChanged) EffectName() string { return "poison.verdict_changed" }
 
 // State is what an entry knows.
 type State struct {
-	Verdicts *Verdicts // The accused parts; never changed after it has been set.
+	Verdicts *Verdicts // The accused traits; never changed after it has been set.
 
 	entry     string // Name of this entry.
 	own       Record // What the row of this entry should hold.
 	rows      map[string]Row
 	listed    bool // The rows have been read.
-	sound     *soundParts
+	sound     *soundTraits
 	writing   bool
 	nextWrite time.Time
-	watched   map[partKey]bool // Parts that are accused here, or by the records alone.
+	watched   map[traitKey]bool // Traits that are accused here, or by the records alone.
 	judgedAt  time.Time
 	clearAt   time.Time // When clearances are published; zero if none are missing.
 }
 
 // New returns the state of an entry that knows nothing yet.
 func New(entry string) State {
-	return State{Verdicts: &Verdicts{}, entry: entry, rows: map[string]Row{}, sound: newSoundParts()}
+	return State{Verdicts: &Verdicts{}, entry: entry, rows: map[string]Row{}, sound: newSoundTraits()}
 }
 
 // Step applies an input to the state.
@@ -199,11 +232,13 @@
 	return state, append(effects, write...)
 }
 
-// answered remembers the parts as sound and reports whether one of them is watched.
+// answered remembers the request's traits as sound and reports whether one of them is
+// watched.
 func (s State) answered(event Answered, now time.Time) (watched bool) {
-	for _, part := range event.Parts {
-		s.sound.add(organisationKey{event.Service, event.Organisation}, part, now)
-		watched = watched || s.watched[partKey{event.Service, part}]
+	for _, trait := range event.Request.traits() {
+		key := traitKey{event.Service, trait}
+		s.sound.add(event.Request.Organisation, key, now)
+		watched = watched || s.watched[key]
 	}
 	return watched
 }
--- a/policy/poison/poison_test.go
+++ b/policy/poison/poison_test.go
@@ -88,11 +88,11 @@
 }
 
 func (f *fleet) answered(entry, organisation string, parts ...string) {
-	f.step(entry, Answered{Service: "s", Organisation: organisation, Parts: parts})
+	f.step(entry, Answered{Service: "s", Request: suspect(organisation, parts...)})
 }
 
 func (f *fleet) refuses(entry, organisation string, parts ...string) bool {
-	_, _, found := f.states[entry].Verdicts.Find("s", organisation, parts, f.now)
+	_, _, found := f.states[entry].Verdicts.Find("s", suspect(organisation, parts...), f.now)
 	return found
 }
 
@@ -100,6 +100,8 @@
 	return Suspect{Organisation: organisation, Parts: parts}
 }
 
+func partKey(part string) traitKey { return traitKey{"s", Trait{PromptPart, part}} }
+
 const betweenCrashes = 4 * time.Second // A group takes that long to form again.
 
 func TestAccusation(t *testing.T) {
@@ -226,18 +228,18 @@
 	Convey("Invented parts don't displace what is known of another organisation's", t, func() {
 		f := newFleet("e1")
 		f.answered("e1", "o", "common")
-		for i := range 10 * soundPartsEach {
+		for i := range 10 * soundTraitsEach {
 			f.answered("e1", "attacker", fmt.Sprint("invented", i))
 		}
 		f.crash("e1", "i-1", suspect("o", "common"))
 		f.pass(betweenCrashes)
 		f.crash("e1", "i-2", suspect("o", "common"))
 		So(f.refuses("e1", "o", "common"), ShouldBeFalse)
-		for i := range 10 * soundOrganisations {
+		for i := range 10 * soundShares {
 			f.answered("e1", fmt.Sprint("o", i), "common", "other")
 		}
-		So(len(f.states["e1"].sound.byPart), ShouldBeLessThanOrEqualTo, soundOrganisations*soundPartsEach)
-		So(f.states["e1"].sound.byPart[partKey{"s", "common"}], ShouldHaveLength, soundOrganisations)
+		So(len(f.states["e1"].sound.byTrait), ShouldBeLessThanOrEqualTo, soundShares*soundTraitsEach)
+		So(f.states["e1"].sound.byTrait[partKey("common")], ShouldHaveLength, soundShares)
 	})
 	Convey("The end of many servers at once displaces no evidence that counts", t, func() {
 		f := newFleet("e1", "e2")
@@ -261,7 +263,7 @@
 			f.crash("e1", fmt.Sprint("i-", i), suspect("o", "bad"))
 			f.pass(betweenCrashes)
 		}
-		_, _, found := f.states["e1"].Verdicts.Find("other", "o", []string{"bad"}, f.now)
+		_, _, found := f.states["e1"].Verdicts.Find("other", suspect("o", "bad"), f.now)
 		So(found, ShouldBeFalse)
 	})
 }
@@ -314,7 +316,7 @@
 		f := newFleet("e1", "e2")
 		accuse(f, 2)
 		later := f.now.Add(24 * time.Hour)
-		f.step("e2", RowRead{Row: Row{Entry: "e3", Version: 1000, Record: Record{Clearances: []Clearance{{"s", "o", "bad", later}}}}})
+		f.step("e2", RowRead{Row: Row{Entry: "e3", Version: 1000, Record: Record{Clearances: []Clearance{{"s", "o", Trait{PromptPart, "bad"}, later}}}}})
 		So(f.refuses("e2", "o", "bad"), ShouldBeTrue)
 		var crashes []Crash
 		for i := range 5 {
@@ -357,11 +359,11 @@
 		})
 		Convey("a part that has become sound is let go by its first answer", func() {
 			f.answered("e1", "o", "bad")
-			So(f.states["e1"].Verdicts.Len(), ShouldEqual, 0)
+			So(f.states["e1"].Verdicts.Len(PromptPart), ShouldEqual, 0)
 		})
 		Convey("evidence and its row end", func() {
 			f.pass(evidenceTTL)
-			So(f.states["e1"].Verdicts.Len(), ShouldEqual, 0)
+			So(f.states["e1"].Verdicts.Len(PromptPart), ShouldEqual, 0)
 			So(f.rows["e1"].Record.empty(), ShouldBeTrue)
 			_, effects := Step(f.states["e1"], reduce.Input{Now: f.now, Event: reduce.Tick{}, Random: 0})
 			So(effects, ShouldResemble, []reduce.Effect{RemoveRows{Entries: []string{"e1"}}})
@@ -388,7 +390,7 @@
 				case 1:
 					f.answered(entry, organisation, parts...)
 					for _, part := range parts {
-						if f.refuses(entry, organisation, part) && f.states[entry].Verdicts.accused[partKey{"s", part}].LastCrash.Before(f.now) {
+						if f.refuses(entry, organisation, part) && f.states[entry].Verdicts.accused[partKey(part)].LastCrash.Before(f.now) {
 							t.Fatalf("%s refuses part %s, which it has just seen answered", entry, part)
 						}
 					}
@@ -401,12 +403,12 @@
 					t.Fatalf("record of %s holds %d crashes and %d clearances", entry, len(row.Record.Crashes), len(row.Record.Clearances))
 				}
 				for _, crash := range row.Record.Crashes {
-					parts := 0
+					weight := 0
 					for _, suspect := range crash.Suspects {
-						parts += len(suspect.Parts)
+						weight += suspectWeight + len(suspect.Parts)
 					}
-					if parts > maxSuspectParts {
-						t.Fatalf("crash in the record of %s holds %d parts", entry, parts)
+					if weight > maxSuspectWeight {
+						t.Fatalf("suspects of a crash in the record of %s weigh %d", entry, weight)
 					}
 				}
 			}
--- a/policy/poison/record.go
+++ b/policy/poison/record.go
@@ -28,13 +28,13 @@
 	r.Crashes[i].Suspects = bounded(merged)
 }
 
-// addClearance adds a clearance, which replaces an older one of the same part.
+// addClearance adds a clearance, which replaces an older one of the same trait.
 func (r *Record) addClearance(clearance Clearance) {
 	kept := slices.DeleteFunc(slices.Clone(r.Clearances), func(known Clearance) bool {
-		return known.Service == clearance.Service && known.Organisation == clearance.Organisation && known.Part == clearance.Part && !known.At.After(clearance.At)
+		return known.Service == clearance.Service && known.Organisation == clearance.Organisation && known.Trait == clearance.Trait && !known.At.After(clearance.At)
 	})
 	if slices.ContainsFunc(kept, func(known Clearance) bool {
-		return known.Service == clearance.Service && known.Organisation == clearance.Organisation && known.Part == clearance.Part
+		return known.Service == clearance.Service && known.Organisation == clearance.Organisation && known.Trait == clearance.Trait
 	}) {
 		return
 	}
@@ -59,22 +59,22 @@
 	return slices.EqualFunc(r.Crashes, other.Crashes, func(a, b Crash) bool {
 		return a.Service == b.Service && a.Server == b.Server && a.At.Equal(b.At) && slices.EqualFunc(a.Suspects, b.Suspects, Suspect.equal)
 	}) && slices.EqualFunc(r.Clearances, other.Clearances, func(a, b Clearance) bool {
-		return a.Service == b.Service && a.Organisation == b.Organisation && a.Part == b.Part && a.At.Equal(b.At)
+		return a.Service == b.Service && a.Organisation == b.Organisation && a.Trait == b.Trait && a.At.Equal(b.At)
 	})
 }
 
 func (s Suspect) equal(other Suspect) bool {
-	return s.Organisation == other.Organisation && slices.Equal(s.Parts, other.Parts)
+	return s.Organisation == other.Organisation && s.Fingerprint == other.Fingerprint && slices.Equal(s.Parts, other.Parts)
 }
 
-// bounded drops the suspects with the most parts until all parts number at most
-// maxSuspectParts.
+// bounded drops the suspects with the most parts until all together weigh at most
+// maxSuspectWeight.
 func bounded(suspects []Suspect) []Suspect {
 	suspects = slices.Clone(suspects)
 	slices.SortStableFunc(suspects, func(a, b Suspect) int { return len(a.Parts) - len(b.Parts) })
-	parts := 0
+	weight := 0
 	for i, suspect := range suspects {
-		if parts += len(suspect.Parts); parts > maxSuspectParts {
+		if weight += suspectWeight + len(suspect.Parts); weight > maxSuspectWeight {
 			return suspects[:i]
 		}
 	}
--- a/policy/poison/sound.go
+++ b/policy/poison/sound.go
@@ -8,24 +8,27 @@
 )
 
 const (
-	// soundOrganisations and soundPartsEach bound the memory of sound parts. Each
-	// organisation has its own share, so that none can displace another's.
-	soundOrganisations = 256
-	soundPartsEach     = 128
+	// soundShares and soundTraitsEach bound the memory of sound traits. Each organisation has
+	// a share of its own for each kind, so that none can displace another's.
+	soundShares     = 512
+	soundTraitsEach = 128
 )
 
-// organisationKey names an organisation's requests to a service.
-type organisationKey struct{ service, organisation string }
+// shareKey names the traits of one kind of an organisation's requests to a service.
+type shareKey struct {
+	service, organisation string
+	kind                  Kind
+}
 
-// soundParts remembers when requests with a part were last answered.
-type soundParts struct {
-	byOrganisation *simplelru.LRU[organisationKey, *simplelru.LRU[string, struct{}]]
-	byPart         map[partKey]map[string]time.Time // By organisation; an index of byOrganisation.
+// soundTraits remembers when requests with a trait were last answered.
+type soundTraits struct {
+	shares  *simplelru.LRU[shareKey, *simplelru.LRU[string, struct{}]]
+	byTrait map[traitKey]map[string]time.Time // By organisation; an index of shares.
 }
 
-func newSoundParts() *soundParts {
-	s := &soundParts{byPart: map[partKey]map[string]time.Time{}}
-	s.byOrganisation = mustLRU(soundOrganisations, func(_ organisationKey, parts *simplelru.LRU[string, struct{}]) { parts.Purge() })
+func newSoundTraits() *soundTraits {
+	s := &soundTraits{byTrait: map[traitKey]map[string]time.Time{}}
+	s.shares = mustLRU(soundShares, func(_ shareKey, ids *simplelru.LRU[string, struct{}]) { ids.Purge() })
 	return s
 }
 
@@ -38,33 +41,33 @@
 	return cache
 }
 
-func (s *soundParts) add(key organisationKey, part string, now time.Time) {
-	parts, ok := s.byOrganisation.Get(key)
+func (s *soundTraits) add(organisation string, key traitKey, now time.Time) {
+	share := shareKey{key.service, organisation, key.trait.Kind}
+	ids, ok := s.shares.Get(share)
 	if !ok {
-		parts = mustLRU(soundPartsEach, func(part string, _ struct{}) { s.forget(key, part) })
-		s.byOrganisation.Add(key, parts)
+		ids = mustLRU(soundTraitsEach, func(id string, _ struct{}) { s.forget(share, id) })
+		s.shares.Add(share, ids)
 	}
-	parts.Add(part, struct{}{})
-	index := partKey{key.service, part}
-	if s.byPart[index] == nil {
-		s.byPart[index] = map[string]time.Time{}
+	ids.Add(key.trait.ID, struct{}{})
+	if s.byTrait[key] == nil {
+		s.byTrait[key] = map[string]time.Time{}
 	}
-	s.byPart[index][key.organisation] = now
+	s.byTrait[key][organisation] = now
 }
 
-// forget removes an evicted part from the index.
-func (s *soundParts) forget(key organisationKey, part string) {
-	index := partKey{key.service, part}
-	delete(s.byPart[index], key.organisation)
-	if len(s.byPart[index]) == 0 {
-		delete(s.byPart, index)
+// forget removes an evicted trait from the index.
+func (s *soundTraits) forget(share shareKey, id string) {
+	key := traitKey{share.service, Trait{share.kind, id}}
+	delete(s.byTrait[key], share.organisation)
+	if len(s.byTrait[key]) == 0 {
+		delete(s.byTrait, key)
 	}
 }
 
-// organisations returns the organisations whose requests with the part were answered, with
+// organisations returns the organisations whose requests with the trait were answered, with
 // the times of the last answers.
-func (s *soundParts) organisations(key partKey) map[string]time.Time {
-	if known := s.byPart[key]; known != nil {
+func (s *soundTraits) organisations(key traitKey) map[string]time.Time {
+	if known := s.byTrait[key]; known != nil {
 		return maps.Clone(known)
 	}
 	return map[string]time.Time{}
--- a/policy/poison/verdict.go
+++ b/policy/poison/verdict.go
@@ -20,32 +20,40 @@
 	// trustedEpisodes replaces both for organisations whose requests with the part were
 	// answered before; longHoldServers in accusingEpisodes count as much.
 	trustedEpisodes = 3
-	// clearingOrganisations is the number of organisations whose answers clear a part for
+	// accusingRequestServers is the number of servers from which a whole request is accused,
+	// and trustedRequestServers in accusingEpisodes if it was answered before. They are fewer
+	// than for parts, as other requests that were at the servers by chance are new ones each time.
+	accusingRequestServers = 2
+	trustedRequestServers  = 3
+	// clearingOrganisations is the number of organisations whose answers clear a trait for
 	// all, as the requests of that many accuse it for all.
 	clearingOrganisations = 2
-	// shortHold and longHold are how long after the latest crash requests with a part are
+	// shortHold and longHold are how long after the latest crash requests with a trait are
 	// refused: the long one from longHoldServers crashed servers.
 	shortHold       = 5 * time.Minute
 	longHold        = time.Hour
 	longHoldServers = 5
 )
 
-type partKey struct{ service, part string }
+type traitKey struct {
+	service string
+	trait   Trait
+}
 
-// Accusation is the evidence against a part.
+// Accusation is the evidence against a trait.
 type Accusation struct {
 	Servers    []string // IDs of the servers that ended, in the order in which they did.
 	Episodes   int
 	FirstCrash time.Time
 	LastCrash  time.Time
-	// Organisations lists whose requests with the part were at the servers. A single one
+	// Organisations lists whose requests with the trait were at the servers. A single one
 	// is the only one whose requests are refused.
 	Organisations []string
 
-	trusting map[string]time.Time // When requests of an organisation with the part were last answered.
+	trusting map[string]time.Time // When requests of an organisation with the trait were last answered.
 }
 
-// Until returns the time until which requests with the part are refused.
+// Until returns the time until which requests with the trait are refused.
 func (a Accusation) Until() time.Time {
 	if len(a.Servers) >= longHoldServers {
 		return a.LastCrash.Add(longHold)
@@ -53,53 +61,80 @@
 	return a.LastCrash.Add(shortHold)
 }
 
-// applies reports whether requests of the organisation are refused.
-func (a Accusation) applies(organisation string, now time.Time) bool {
+// sufficient reports whether the evidence accuses a trait of the kind that was never
+// answered.
+func (a Accusation) sufficient(kind Kind) bool {
+	if kind == WholeRequest {
+		return len(a.Servers) >= accusingRequestServers
+	}
+	return a.Episodes >= accusingEpisodes || len(a.Servers) >= accusingServers
+}
+
+// strong reports whether the evidence accuses a trait of the kind that was answered before
+// the crashes.
+func (a Accusation) strong(kind Kind) bool {
+	if kind == WholeRequest {
+		return a.Episodes >= accusingEpisodes && len(a.Servers) >= trustedRequestServers
+	}
+	return a.Episodes >= trustedEpisodes || a.Episodes >= accusingEpisodes && len(a.Servers) >= longHoldServers
+}
+
+// applies reports whether requests of the organisation with the trait of the kind are
+// refused.
+func (a Accusation) applies(kind Kind, organisation string, now time.Time) bool {
 	if now.After(a.Until()) {
 		return false
 	}
-	strong := a.Episodes >= trustedEpisodes || a.Episodes >= accusingEpisodes && len(a.Servers) >= longHoldServers
-	if _, trusting := a.trusting[organisation]; trusting && !strong {
+	if _, trusting := a.trusting[organisation]; trusting && !a.strong(kind) {
 		return false
 	}
 	return len(a.Organisations) > 1 || slices.Contains(a.Organisations, organisation)
 }
 
-// Verdicts holds the accused parts. It is immutable.
-type Verdicts struct{ accused map[partKey]Accusation }
+// Verdicts holds the accused traits. It is immutable.
+type Verdicts struct{ accused map[traitKey]Accusation }
 
-// Find returns the first part by which a request is refused, with the accusation.
-func (v *Verdicts) Find(service, organisation string, parts []string, now time.Time) (part string, accusation Accusation, found bool) {
+// Find returns the first trait by which a request to the service is refused, with the
+// accusation.
+func (v *Verdicts) Find(service string, request Suspect, now time.Time) (trait Trait, accusation Accusation, found bool) {
 	if len(v.accused) == 0 {
-		return "", Accusation{}, false
+		return Trait{}, Accusation{}, false
 	}
-	for _, part := range parts {
-		if accusation, ok := v.accused[partKey{service, part}]; ok && accusation.applies(organisation, now) {
-			return part, accusation, true
+	for _, trait := range request.traits() {
+		if accusation, ok := v.accused[traitKey{service, trait}]; ok && accusation.applies(trait.Kind, request.Organisation, now) {
+			return trait, accusation, true
 		}
 	}
-	return "", Accusation{}, false
+	return Trait{}, Accusation{}, false
 }
 
-// countsFor reports whether a part of a suspect of the crash is accused.
+// countsFor reports whether a trait of a suspect of the crash is accused.
 func (v *Verdicts) countsFor(crash Crash) bool {
 	return slices.ContainsFunc(crash.Suspects, func(suspect Suspect) bool {
-		return slices.ContainsFunc(suspect.Parts, func(part string) bool {
-			_, accused := v.accused[partKey{crash.Service, part}]
+		return slices.ContainsFunc(suspect.traits(), func(trait Trait) bool {
+			_, accused := v.accused[traitKey{crash.Service, trait}]
 			return accused
 		})
 	})
 }
 
-// Len returns the number of accused parts.
-func (v *Verdicts) Len() int { return len(v.accused) }
+// Len returns the number of accused traits of the kind.
+func (v *Verdicts) Len(kind Kind) int {
+	number := 0
+	for key := range v.accused {
+		if key.trait.Kind == kind {
+			number++
+		}
+	}
+	return number
+}
 
 // judge derives the verdicts from all records.
 func (s State) judge(input reduce.Input) (State, []reduce.Effect) {
 	now := input.Now
 	known := s.crashes(now)
 	cleared := s.clearances(now)
-	accused := accusations(known, func(key partKey) map[string]time.Time {
+	accused := accusations(known, func(key traitKey) map[string]time.Time {
 		answered := s.sound.organisations(key)
 		for organisation, at := range cleared[key] {
 			answered[organisation] = latest(answered[organisation], at)
@@ -112,9 +147,9 @@
 	}
 	dropExplained(accused)
 	byRecords := accusedByRecords(known, cleared)
-	s.watched = map[partKey]bool{}
-	for _, parts := range []map[partKey]Accusation{accused, byRecords} {
-		for key := range parts {
+	s.watched = map[traitKey]bool{}
+	for _, traits := range []map[traitKey]Accusation{accused, byRecords} {
+		for key := range traits {
 			s.watched[key] = true
 		}
 	}
@@ -127,16 +162,16 @@
 	return s, effects
 }
 
-// dropExplained removes parts whose crashes are all explained by an accused part with
-// more of them: what crashing prompts have in common with sound ones is at some of the
-// same servers.
-func dropExplained(accused map[partKey]Accusation) {
+// dropExplained removes traits whose crashes are all explained by another accused one: what
+// crashing requests have in common with sound ones is at the same servers, or at some of
+// them.
+func dropExplained(accused map[traitKey]Accusation) {
 	for key, accusation := range accused {
 		for other, stronger := range accused {
 			if len(stronger.trusting) > 0 {
 				continue // Likely to be cleared soon.
 			}
-			if other.service == key.service && len(stronger.Servers) > len(accusation.Servers) && containsAll(stronger.Servers, accusation.Servers) {
+			if other.service == key.service && explains(other.trait.Kind, stronger, key.trait.Kind, accusation) {
 				delete(accused, key)
 				break
 			}
@@ -144,20 +179,30 @@
 	}
 }
 
+// explains reports whether the crashes of the weaker trait are due to the stronger one. A
+// request refused by itself costs other callers nothing, so it explains a part at the same
+// servers, and no part explains a request.
+func explains(strongerKind Kind, stronger Accusation, weakerKind Kind, weaker Accusation) bool {
+	if strongerKind == PromptPart && weakerKind == WholeRequest || !containsAll(stronger.Servers, weaker.Servers) {
+		return false
+	}
+	return strongerKind != weakerKind || len(stronger.Servers) > len(weaker.Servers)
+}
+
 func containsAll(all, some []string) bool {
 	return !slices.ContainsFunc(some, func(server string) bool { return !slices.Contains(all, server) })
 }
 
-// accusations returns the parts that the crashes accuse. answered returns when requests
-// with a part were last answered, by organisation: earlier crashes don't count.
-func accusations(crashes []Crash, answered func(key partKey) map[string]time.Time) map[partKey]Accusation {
-	evidence := map[partKey]Accusation{}
-	answers := map[partKey]map[string]time.Time{}
-	episodeStart := map[partKey]time.Time{}
+// accusations returns the traits that the crashes accuse. answered returns when requests
+// with a trait were last answered, by organisation: earlier crashes don't count.
+func accusations(crashes []Crash, answered func(key traitKey) map[string]time.Time) map[traitKey]Accusation {
+	evidence := map[traitKey]Accusation{}
+	answers := map[traitKey]map[string]time.Time{}
+	episodeStart := map[traitKey]time.Time{}
 	for _, crash := range crashes {
 		for _, suspect := range crash.Suspects {
-			for _, part := range suspect.Parts {
-				key := partKey{crash.Service, part}
+			for _, trait := range suspect.traits() {
+				key := traitKey{crash.Service, trait}
 				if answers[key] == nil {
 					answers[key] = answered(key)
 				}
@@ -183,13 +228,11 @@
 			}
 		}
 	}
-	maps.DeleteFunc(evidence, func(_ partKey, accusation Accusation) bool {
-		return accusation.Episodes < accusingEpisodes && len(accusation.Servers) < accusingServers
-	})
+	maps.DeleteFunc(evidence, func(key traitKey, accusation Accusation) bool { return !accusation.sufficient(key.trait.Kind) })
 	return evidence
 }
 
-// clears reports whether the answers to requests with a part clear it of a crash in which
+// clears reports whether the answers to requests with a trait clear it of a crash in which
 // the organisation had one: answers to that organisation, or to any two.
 func clears(answers map[string]time.Time, organisation string, crashedAt time.Time) bool {
 	if answers[organisation].After(crashedAt) {
@@ -235,16 +278,16 @@
 	})
 }
 
-// clearances returns the times of the latest clearances of each part in all records, by
+// clearances returns the times of the latest clearances of each trait in all records, by
 // organisation.
-func (s State) clearances(now time.Time) map[partKey]map[string]time.Time {
-	cleared := map[partKey]map[string]time.Time{}
+func (s State) clearances(now time.Time) map[traitKey]map[string]time.Time {
+	cleared := map[traitKey]map[string]time.Time{}
 	add := func(record Record) {
 		for _, clearance := range record.Clearances {
 			if clearance.At.Sub(now) > maxClockSkew {
 				continue
 			}
-			key := partKey{clearance.Service, clearance.Part}
+			key := traitKey{clearance.Service, clearance.Trait}
 			if cleared[key] == nil {
 				cleared[key] = map[string]time.Time{}
 			}
@@ -258,17 +301,17 @@
 	return cleared
 }
 
-// verdictChanges returns an effect for each part whose evidence has changed.
-func verdictChanges(before, after map[partKey]Accusation) []reduce.Effect {
+// verdictChanges returns an effect for each trait whose evidence has changed.
+func verdictChanges(before, after map[traitKey]Accusation) []reduce.Effect {
 	var effects []reduce.Effect
 	for key, accusation := range after {
 		if known, ok := before[key]; !ok || len(known.Servers) != len(accusation.Servers) || len(known.Organisations) != len(accusation.Organisations) {
-			effects = append(effects, VerdictChanged{Service: key.service, Part: key.part, Accusation: accusation})
+			effects = append(effects, VerdictChanged{Service: key.service, Trait: key.trait, Accusation: accusation})
 		}
 	}
 	for key, accusation := range before {
 		if _, ok := after[key]; !ok {
-			effects = append(effects, VerdictChanged{Service: key.service, Part: key.part, Accusation: accusation, Cleared: true})
+			effects = append(effects, VerdictChanged{Service: key.service, Trait: key.trait, Accusation: accusation, Cleared: true})
 		}
 	}
 	return effects
--- a/policy/result/result.go
+++ b/policy/result/result.go
@@ -40,7 +40,7 @@
 	KeyStateUnknown    Code = 2011
 	ConcurrencyLimited Code = 2012
 	Cancelled          Code = 2013
-	CrashingPrompt     Code = 2014
+	CrashingRequest    Code = 2014
 	OutcomeUnknown     Code = 3001
 	CutAnswer          Code = 3002
 	BackendFailed      Code = 3003
@@ -101,7 +101,7 @@
 	KeyStateUnknown:    {"key_state_unknown", 503, false, true, "This attempt was not run; the state of the key is unknown. Repeat with the same key."},
 	ConcurrencyLimited: {"concurrency_limited", 429, true, true, "The organisation has too many requests in flight."},
 	Cancelled:          {"cancelled", 409, true, true, "The request was cancelled before it started."},
-	CrashingPrompt:     {"crashing_prompt", 503, true, true, "Backend servers have ended while they began to answer prompts that share a part with this one."},
+	CrashingRequest:    {"crashing_request", 503, true, true, "Backend servers have ended while they began to answer this request, or prompts that share a part with its prompt."},
 	OutcomeUnknown:     {"outcome_unknown", 504, false, true, "The work may have run. Repeat with the same key to learn the outcome."},
 	CutAnswer:          {"cut_answer", 502, false, true, "The answer was truncated."},
 	BackendFailed:      {"backend_failed", 502, false, true, "The backend server failed while it worked on the request."},
--- a/server/deployed/crashing_prompts_test.go
+++ b/server/deployed/crashing_prompts_test.go
@@ -1,7 +1,6 @@
 package deployed
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -11,9 +10,6 @@
 	"time"
 )
 
-// knownRed enables the tests that are listed in KNOWN-RED.txt.
-var knownRed = flag.Bool("deployed.known-red", false, "run the tests that fail for a known fault")
-
 // crashingLoad is a load in which some requests crash servers.
 type crashingLoad struct {
 	sound, crashing func(f *fleet, client *http.Client, random *rand.Rand) bool // Send a request and report whether it was answered.
@@ -108,9 +104,6 @@
 // and no entry compares it with those that were at the servers that ended (BUDGET on
 // glorieta-ops, a look-up without a prompt).
 func TestRequestThatCrashesServersStopsBeingSent(t *testing.T) {
-	if !*knownRed {
-		t.Skip("listed in KNOWN-RED.txt; run it with -deployed.known-red")
-	}
 	loads := map[string]crashingLoad{
 		"plain service": {
 			sound: func(f *fleet, client *http.Client, random *rand.Rand) bool {
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -63,7 +63,7 @@
 	possibleExecutions    int    // Attempts that the server may have executed.
 	foundGroupClosed      bool   // An attempt was refused because the group is closed.
 	refusedByDispatcher   bool   // The dispatcher has refused the request; no attempt follows.
-	quarantined           bool   // The prompt must not be sent to a server; no attempt follows.
+	quarantined           bool   // The request must not be sent to a server; no attempt follows.
 	avoidServer           string // The server of the latest failed attempt.
 	server                string // The server of the latest attempt; for the log.
 	responseStarted       bool   // The status and headers have been sent to the caller.
@@ -189,12 +189,12 @@
 
 // attempt sends the request to one backend server and delivers its answer.
 func (c *call) attempt(ctx context.Context, service string) *result.Error {
-	prompt := c.prompt(service)
-	if refused := c.gateway.guard.Check(prompt); refused != nil {
+	request := c.compared(service)
+	if refused := c.gateway.guard.Check(request); refused != nil {
 		c.quarantined = true
 		return refused
 	}
-	decision, err := c.acquire(ctx, service, prompt)
+	decision, err := c.acquire(ctx, service, request)
 	var refused *result.Error
 	if errors.As(err, &refused) {
 		c.quarantined = true
@@ -224,7 +224,7 @@
 		return nil
 	}
 	c.groupClosed = closed
-	c.observeBroken(service, decision.Server, prompt)
+	c.observeBroken(service, decision.Server, request)
 	c.avoidServer = decision.Server.ID
 	if closed && outcome == dispatch.Busy {
 		c.foundGroupClosed = true
@@ -234,19 +234,21 @@
 	return failure
 }
 
-// prompt returns what is known of the request's prompt.
-func (c *call) prompt(service string) quarantine.Prompt {
-	return quarantine.Prompt{Service: service, Organisation: c.organisationName(), Parts: c.request.SharedParts, Fingerprint: c.fingerprint}
+// compared returns what the guard compares of the request.
+func (c *call) compared(service string) quarantine.Request {
+	return quarantine.Request{Service: service, Suspect: poison.Suspect{
+		Organisation: c.organisationName(), Parts: c.request.SharedParts, Fingerprint: c.fingerprint,
+	}}
 }
 
 // acquire returns the dispatcher's decision about the request. It returns a
-// *result.Error if the prompt must not be sent to a server any more.
-func (c *call) acquire(ctx context.Context, service string, prompt quarantine.Prompt) (dispatch.Decision, error) {
+// *result.Error if the request must not be sent to a server any more.
+func (c *call) acquire(ctx context.Context, service string, request quarantine.Request) (dispatch.Decision, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	remove := func() {}
 	decision, err := c.gateway.dispatchers.acquire(ctx, service, c.ticket(), func(decision dispatch.Decision) {
-		remove = c.gateway.guard.Queued(prompt, cancel)
+		remove = c.gateway.guard.Queued(request, cancel)
 		c.logDecision(decision)
 	})
 	remove()
@@ -254,7 +256,7 @@
 		return decision, context.Cause(ctx)
 	}
 	if decision.Verdict == dispatch.Go {
-		if refused := c.gateway.guard.Check(prompt); refused != nil {
+		if refused := c.gateway.guard.Check(request); refused != nil {
 			c.gateway.dispatchers.release(service, decision.Server.ID, dispatch.CallerLeft)
 			return decision, refused
 		}
@@ -264,10 +266,10 @@
 
 // observeBroken tells the guard that the server has broken the exchange off before it had
 // answered.
-func (c *call) observeBroken(service string, server topology.Candidate, prompt quarantine.Prompt) {
+func (c *call) observeBroken(service string, server topology.Candidate, request quarantine.Request) {
 	broken := c.end == upstream.EndedByServer || c.end == upstream.ResetByServer
 	if broken && !c.answering() && c.gateway.dispatchers.expectedToRun(service, server.ID) {
-		c.gateway.guard.Broken(prompt, server.ID, server.Address, c.sentAt)
+		c.gateway.guard.Broken(request, server.ID, server.Address, c.sentAt)
 	}
 }
 
@@ -363,7 +365,7 @@
 	}
 	outcome, failure := c.relayBuffered(ctx, exchange)
 	if outcome == dispatch.Served {
-		c.gateway.guard.Answered(c.prompt(service))
+		c.gateway.guard.Answered(c.compared(service))
 	}
 	return outcome, failure
 }
--- a/server/gateway/ended_servers_test.go
+++ b/server/gateway/ended_servers_test.go
@@ -23,13 +23,13 @@
 type recordingGuard struct {
 	unguarded
 	mu               sync.Mutex
-	broken, answered []quarantine.Prompt
+	broken, answered []quarantine.Request
 }
 
-func (g *recordingGuard) Check(prompt quarantine.Prompt) *result.Error {
-	for _, part := range prompt.Parts {
+func (g *recordingGuard) Check(request quarantine.Request) *result.Error {
+	for _, part := range request.Parts {
 		if part == "bad0" {
-			refused := result.Errorf(result.CrashingPrompt, "part %s", part)
+			refused := result.Errorf(result.CrashingRequest, "part %s", part)
 			refused.RetryAfter = time.Minute
 			return refused
 		}
@@ -37,23 +37,23 @@
 	return nil
 }
 
-func (g *recordingGuard) Broken(prompt quarantine.Prompt, _, _ string, _ time.Time) {
+func (g *recordingGuard) Broken(request quarantine.Request, _, _ string, _ time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.broken = append(g.broken, prompt)
+	g.broken = append(g.broken, request)
 }
 
-func (g *recordingGuard) Answered(prompt quarantine.Prompt) {
+func (g *recordingGuard) Answered(request quarantine.Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.answered = append(g.answered, prompt)
+	g.answered = append(g.answered, request)
 }
 
 // refusingQueue is a Guard that ends the waiting of every request.
 type refusingQueue struct{ unguarded }
 
-func (refusingQueue) Queued(_ quarantine.Prompt, cancel context.CancelCauseFunc) func() {
-	refused := result.Errorf(result.CrashingPrompt, "part")
+func (refusingQueue) Queued(_ quarantine.Request, cancel context.CancelCauseFunc) func() {
+	refused := result.Errorf(result.CrashingRequest, "part")
 	refused.RetryAfter = time.Minute
 	cancel(refused)
 	return func() {}
@@ -138,10 +138,10 @@
 			guard.mu.Lock()
 			So(c.name+fmt.Sprint(len(guard.broken) > 0), ShouldEqual, c.name+fmt.Sprint(c.broken > 0))
 			So(c.name+fmt.Sprint(len(guard.answered) > 0), ShouldEqual, c.name+fmt.Sprint(c.answered > 0))
-			for _, prompt := range append(guard.broken, guard.answered...) {
-				So(prompt, ShouldResemble, quarantine.Prompt{
-					Service: "s", Organisation: "org-a", Parts: []string{"aa", "bb"}, Fingerprint: poison.Fingerprint("POST", "/stream/x", "org-a", nil),
-				})
+			for _, request := range append(guard.broken, guard.answered...) {
+				So(request, ShouldResemble, quarantine.Request{Service: "s", Suspect: poison.Suspect{
+					Organisation: "org-a", Parts: []string{"aa", "bb"}, Fingerprint: poison.Fingerprint("POST", "/stream/x", "org-a", nil),
+				}})
 			}
 			guard.mu.Unlock()
 			s.close(first, second)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -44,18 +44,18 @@
 	defaultDeadline = 30 * time.Second
 )
 
-// Guard keeps prompts that crash backend servers away from them; see package
+// Guard keeps requests that crash backend servers away from them; see package
 // quarantine.
 type Guard interface {
-	// Check returns the refusal of a prompt that must not be sent, or nil.
-	Check(prompt quarantine.Prompt) *result.Error
+	// Check returns the refusal of a request that must not be sent, or nil.
+	Check(request quarantine.Request) *result.Error
 	// Queued registers a request that waits until the returned function is called; cancel
 	// is called with a *result.Error once it must not be sent.
-	Queued(prompt quarantine.Prompt, cancel context.CancelCauseFunc) (remove func())
-	// Answered records that a server has answered a prompt.
-	Answered(prompt quarantine.Prompt)
+	Queued(request quarantine.Request, cancel context.CancelCauseFunc) (remove func())
+	// Answered records that a server has answered a request.
+	Answered(request quarantine.Request)
 	// Broken records that a server broke an exchange off before it had answered.
-	Broken(prompt quarantine.Prompt, server, address string, sentAt time.Time)
+	Broken(request quarantine.Request, server, address string, sentAt time.Time)
 	// Refresh records a sign that a server may have crashed.
 	Refresh()
 }
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -118,11 +118,11 @@
 // unguarded is a Guard that refuses nothing.
 type unguarded struct{}
 
-func (unguarded) Check(quarantine.Prompt) *result.Error                    { return nil }
-func (unguarded) Queued(quarantine.Prompt, context.CancelCauseFunc) func() { return func() {} }
-func (unguarded) Answered(quarantine.Prompt)                               {}
-func (unguarded) Broken(quarantine.Prompt, string, string, time.Time)      {}
-func (unguarded) Refresh()                                                 {}
+func (unguarded) Check(quarantine.Request) *result.Error                    { return nil }
+func (unguarded) Queued(quarantine.Request, context.CancelCauseFunc) func() { return func() {} }
+func (unguarded) Answered(quarantine.Request)                               {}
+func (unguarded) Broken(quarantine.Request, string, string, time.Time)      {}
+func (unguarded) Refresh()                                                  {}
 
 // system is a gateway in front of backend servers.
 type system struct {
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -42,7 +42,7 @@
 	observeAnswered := func(complete bool) {
 		if !answered && (c.answering() || complete && !c.firstEventAt.IsZero()) {
 			answered = true
-			c.gateway.guard.Answered(c.prompt(service))
+			c.gateway.guard.Answered(c.compared(service))
 		}
 	}
 	for {
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -23,7 +23,7 @@
 	EntriesCounted        = define(328, "entries_counted", logrus.InfoLevel, "The number of running entries has changed; limits that all entries share are divided anew.")
 	ServerSaysLeaving     = define(326, "server_says_leaving", logrus.InfoLevel, "A backend server said in an answer that it stops soon; it gets no further requests from this entry.")
 	BrokenServerChecked   = define(340, "broken_server_checked", logrus.InfoLevel, "A backend server broke exchanges off that it had not answered; the field ended tells whether no process listens at its address any more.")
-	PartJudged            = define(341, "part_judged", logrus.WarnLevel, "The evidence has changed by which a part of prompts crashes backend servers; the field accused tells whether requests with it are refused.")
+	TraitJudged           = define(341, "trait_judged", logrus.WarnLevel, "The evidence has changed by which a request, or a part of prompts, crashes backend servers; the field accused tells whether such requests are refused.")
 	CrashRecordNotWritten = define(342, "crash_record_not_written", logrus.WarnLevel, "The record of the crashes that this entry has observed could not be written to the store; the entry retries.")
 	LimitNamed            = define(343, "limit_named", logrus.InfoLevel, "A backend server named in an answer how many requests a second it takes from all entries together, or no longer names a limit.")
 	PauseRequested        = define(327, "pause_requested", logrus.InfoLevel, "A backend server refused a request and asked to get none for a while; it gets none from this entry until then.")
--- a/server/quarantine/metrics.go
+++ b/server/quarantine/metrics.go
@@ -4,8 +4,9 @@
 
 // Metrics holds the metrics of a quarantine.
 type Metrics struct {
-	crashes      prometheus.Counter // Crashes that this entry has observed.
-	accusedParts prometheus.Gauge   // Parts of prompts that are accused.
+	crashes         prometheus.Counter // Crashes that this entry has observed.
+	accusedParts    prometheus.Gauge   // Parts of prompts that are accused.
+	accusedRequests prometheus.Gauge   // Requests that are accused by themselves.
 }
 
 // NewMetrics registers the metrics.
@@ -19,7 +20,11 @@
 			Namespace: "persimmonwind", Name: "quarantine_accused_parts",
 			Help: "Parts of prompts that crash backend servers, by the evidence of all entries.",
 		}),
+		accusedRequests: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "persimmonwind", Name: "quarantine_accused_requests",
+			Help: "Requests that crash backend servers and come again, by the evidence of all entries.",
+		}),
 	}
-	registry.MustRegister(m.crashes, m.accusedParts)
+	registry.MustRegister(m.crashes, m.accusedParts, m.accusedRequests)
 	return m
 }
--- a/server/quarantine/quarantine.go
+++ b/server/quarantine/quarantine.go
@@ -1,4 +1,4 @@
-// Package quarantine keeps prompts that crash backend servers away from them. It
+// Package quarantine keeps requests that crash backend servers away from them. It
 // confirms that a server has crashed, exchanges what the entries have observed through
 // the platform's store, and tells the gateway which requests to refuse; policy/poison
 // decides.
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -67,11 +66,10 @@
 	Remove(ctx context.Context, rows []platform.Row) error
 }
 
-// Prompt is what is known of a request's prompt.
-type Prompt struct {
-	Service, Organisation string
-	Parts                 []string // Hashes of the parts that other requests may share.
-	Fingerprint           string   // Of the request; see poison.Fingerprint.
+// Request is what is known of a request that a quarantine compares with others.
+type Request struct {
+	Service string
+	poison.Suspect
 }
 
 // Quarantine is the quarantine of one entry. It is safe for concurrent use.
@@ -93,16 +91,15 @@
 
 // suspicion is a server that may have ended, with the requests that it had.
 type suspicion struct {
-	suspects     []poison.Suspect
-	fingerprints []string // Of the suspects.
-	since        time.Time
-	checked      bool
+	suspects []poison.Suspect
+	since    time.Time
+	checked  bool
 }
 
 // waiter is a request that waits in a queue.
 type waiter struct {
-	prompt Prompt
-	cancel context.CancelCauseFunc
+	request Request
+	cancel  context.CancelCauseFunc
 }
 
 // New returns the quarantine of the entry with the name.
@@ -126,35 +123,43 @@
 	return q.loop.Run(ctx, poison.New(q.entry), tickInterval)
 }
 
-// Check returns the refusal of a prompt that must not be sent to a server, or nil.
-func (q *Quarantine) Check(prompt Prompt) *result.Error {
+// Check returns the refusal of a request that must not be sent to a server, or nil.
+func (q *Quarantine) Check(request Request) *result.Error {
 	verdicts := q.loop.View()
 	if verdicts == nil {
 		return nil
 	}
-	return refusal(*verdicts, prompt)
+	return refusal(*verdicts, request)
 }
 
-func refusal(verdicts *poison.Verdicts, prompt Prompt) *result.Error {
+func refusal(verdicts *poison.Verdicts, request Request) *result.Error {
 	now := time.Now()
-	part, accusation, found := verdicts.Find(prompt.Service, prompt.Organisation, prompt.Parts, now)
+	trait, accusation, found := verdicts.Find(request.Service, request.Suspect, now)
 	if !found {
 		return nil
 	}
-	refused := result.Errorf(result.CrashingPrompt, "%d servers have ended while they began to answer prompts with part %s, the last one %v ago",
-		len(accusation.Servers), part, now.Sub(accusation.LastCrash).Round(time.Second))
+	refused := result.Errorf(result.CrashingRequest, "%d servers have ended while they began to answer %s, the last one %v ago",
+		len(accusation.Servers), describe(trait), now.Sub(accusation.LastCrash).Round(time.Second))
 	refused.RetryAfter = accusation.Until().Sub(now)
 	return refused
 }
 
+// describe names the requests with the trait.
+func describe(trait poison.Trait) string {
+	if trait.Kind == poison.WholeRequest {
+		return "the request with fingerprint " + trait.ID
+	}
+	return "prompts with part " + trait.ID
+}
+
 // Queued registers a request that waits in a queue, until the returned function is
 // called. cancel is called with a *result.Error as soon as the request must not be sent.
-func (q *Quarantine) Queued(prompt Prompt, cancel context.CancelCauseFunc) (remove func()) {
-	w := &waiter{prompt: prompt, cancel: cancel}
+func (q *Quarantine) Queued(request Request, cancel context.CancelCauseFunc) (remove func()) {
+	w := &waiter{request: request, cancel: cancel}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiting[w] = true
-	if refused := q.Check(prompt); refused != nil {
+	if refused := q.Check(request); refused != nil {
 		cancel(refused)
 	}
 	return func() {
@@ -164,32 +169,29 @@
 	}
 }
 
-// Answered records that a server has answered a request with the prompt, or has gone on
-// for a while after it began to.
-func (q *Quarantine) Answered(prompt Prompt) {
-	if len(prompt.Parts) > 0 {
-		q.loop.Post(poison.Answered{Service: prompt.Service, Organisation: prompt.Organisation, Parts: prompt.Parts})
-	}
+// Answered records that a server has answered the request, or has gone on for a while after
+// it began to.
+func (q *Quarantine) Answered(request Request) {
+	q.loop.Post(poison.Answered{Service: request.Service, Request: request.Suspect})
 }
 
 // Broken records that a server has broken an exchange off before it had answered: before
-// the first event or just after it. The prompt becomes evidence if the server turns out to have ended.
-func (q *Quarantine) Broken(prompt Prompt, server, address string, sentAt time.Time) {
+// the first event or just after it. The request becomes evidence if the server turns out
+// to have ended.
+func (q *Quarantine) Broken(request Request, server, address string, sentAt time.Time) {
 	if time.Since(sentAt) < minExecution {
 		return
 	}
-	suspect := poison.Suspect{Organisation: prompt.Organisation, Parts: prompt.Parts}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if known := q.suspicions[server]; known != nil {
 		if !known.checked {
-			known.suspects = append(known.suspects, suspect)
-			known.fingerprints = append(known.fingerprints, prompt.Fingerprint)
+			known.suspects = append(known.suspects, request.Suspect)
 		}
 		return
 	}
-	q.suspicions[server] = &suspicion{suspects: []poison.Suspect{suspect}, fingerprints: []string{prompt.Fingerprint}, since: time.Now()}
-	time.AfterFunc(confirmDelay, func() { q.confirm(prompt.Service, server, address) })
+	q.suspicions[server] = &suspicion{suspects: []poison.Suspect{request.Suspect}, since: time.Now()}
+	time.AfterFunc(confirmDelay, func() { q.confirm(request.Service, server, address) })
 }
 
 // confirm checks whether the server has ended, and if so reports the crash.
@@ -204,20 +206,28 @@
 	q.mu.Lock()
 	suspicion := q.suspicions[server]
 	suspicion.checked = true
-	suspects, fingerprints := suspicion.suspects, suspicion.fingerprints
+	suspects := suspicion.suspects
 	q.mu.Unlock()
-	fields := logrus.Fields{"server": server, "service": service, "address": address, "ended": ended, "suspects": len(suspects), "fingerprints": fingerprints[:min(len(fingerprints), maxLoggedSuspects)]}
+	fields := logrus.Fields{"server": server, "service": service, "address": address, "ended": ended, "suspects": len(suspects), "fingerprints": fingerprints(suspects)}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
 	logevent.Write(q.log, logevent.BrokenServerChecked, fields)
-	comparable := slices.ContainsFunc(suspects, func(suspect poison.Suspect) bool { return len(suspect.Parts) > 0 })
-	if ended && comparable {
+	if ended {
 		q.metrics.crashes.Inc()
 		q.loop.Post(poison.CrashObserved{Crash: poison.Crash{Service: service, Server: server, At: suspicion.since, Suspects: suspects}})
 	}
 }
 
+// fingerprints returns the fingerprints of the first suspects, for the log.
+func fingerprints(suspects []poison.Suspect) []string {
+	var listed []string
+	for _, suspect := range suspects[:min(len(suspects), maxLoggedSuspects)] {
+		listed = append(listed, suspect.Fingerprint)
+	}
+	return listed
+}
+
 // dropSuspicions removes the suspicions that have been checked until ctx ends.
 func (q *Quarantine) dropSuspicions(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -283,22 +293,31 @@
 	}
 }
 
+// traitField returns the name of the log field for a trait of the kind.
+func traitField(kind poison.Kind) string {
+	if kind == poison.WholeRequest {
+		return "fingerprint"
+	}
+	return "part"
+}
+
 // verdictChanged logs the verdict and ends the waiting of requests that must not be sent
 // any more. The new verdicts are published before effects are executed.
 func (q *Quarantine) verdictChanged(change poison.VerdictChanged) {
 	accusation := change.Accusation
 	fields := logrus.Fields{
-		"service": change.Service, "part": change.Part, "accused": !change.Cleared, "servers": accusation.Servers,
+		"service": change.Service, traitField(change.Trait.Kind): change.Trait.ID, "accused": !change.Cleared, "servers": accusation.Servers,
 		"episodes": accusation.Episodes, "organisations": accusation.Organisations,
 		"age_ms": time.Since(accusation.LastCrash).Milliseconds(), "until_ms": time.Until(accusation.Until()).Milliseconds(),
 	}
-	logevent.Write(q.log, logevent.PartJudged, fields)
+	logevent.Write(q.log, logevent.TraitJudged, fields)
 	verdicts := *q.loop.View()
-	q.metrics.accusedParts.Set(float64(verdicts.Len()))
+	q.metrics.accusedParts.Set(float64(verdicts.Len(poison.PromptPart)))
+	q.metrics.accusedRequests.Set(float64(verdicts.Len(poison.WholeRequest)))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for w := range q.waiting {
-		if refused := refusal(verdicts, w.prompt); refused != nil {
+		if refused := refusal(verdicts, w.request); refused != nil {
 			w.cancel(refused)
 		}
 	}
--- a/server/quarantine/quarantine_test.go
+++ b/server/quarantine/quarantine_test.go
@@ -59,7 +59,7 @@
 }
 
 func TestQuarantine(t *testing.T) {
-	bad := Prompt{Service: "s", Organisation: "o", Parts: []string{"aa", "bad0"}}
+	bad := Request{Service: "s", Suspect: poison.Suspect{Organisation: "o", Parts: []string{"aa", "bad0"}}}
 	longAgo := time.Now().Add(-time.Second)
 	Convey("Given the quarantines of three entries", t, func() {
 		store := platformtest.NewStore()
@@ -75,11 +75,11 @@
 			for _, q := range append(quarantines, later...) {
 				So(eventually(func() bool { return q.Check(bad) != nil }), ShouldBeTrue)
 				refused := q.Check(bad)
-				So(refused.Code, ShouldEqual, result.CrashingPrompt)
+				So(refused.Code, ShouldEqual, result.CrashingRequest)
 				So(refused.NotRun(), ShouldBeTrue)
 				So(refused.RetryAfter, ShouldBeGreaterThan, time.Minute)
 			}
-			So(quarantines[2].Check(Prompt{Service: "s", Organisation: "o", Parts: []string{"bb"}}), ShouldBeNil)
+			So(quarantines[2].Check(Request{Service: "s", Suspect: poison.Suspect{Organisation: "o", Parts: []string{"bb"}}}), ShouldBeNil)
 		})
 		Convey("a request that waits in a queue is told at once", func() {
 			ctx, cancel := context.WithCancelCause(context.Background())
@@ -116,12 +116,15 @@
 func TestRecordRow(t *testing.T) {
 	Convey("A record is read as it was written, and the largest one fits a row", t, func() {
 		const rowBytes = 65536 // Of the users' store.
-		record := poison.Record{Clearances: []poison.Clearance{{Service: "s", Organisation: "o", Part: "aa", At: time.UnixMilli(5)}}}
+		record := poison.Record{Clearances: []poison.Clearance{
+			{Service: "s", Organisation: "o", Trait: poison.Trait{Kind: poison.PromptPart, ID: "aa"}, At: time.UnixMilli(5)},
+			{Service: "s", Organisation: "o", Trait: poison.Trait{Kind: poison.WholeRequest, ID: "ff"}, At: time.UnixMilli(6)},
+		}}
 		part := strings.Repeat("f", 32)
 		for range 8 {
 			crash := poison.Crash{Service: "s", Server: strings.Repeat("i", 20), At: time.UnixMilli(7)}
 			for range 6 {
-				suspect := poison.Suspect{Organisation: strings.Repeat("o", 30)}
+				suspect := poison.Suspect{Organisation: strings.Repeat("o", 30), Fingerprint: part}
 				for range 32 {
 					suspect.Parts = append(suspect.Parts, part)
 				}
--- a/server/quarantine/row.go
+++ b/server/quarantine/row.go
@@ -30,13 +30,15 @@
 type suspectRow struct {
 	Organisation string   `json:"organisation"`
 	Parts        []string `json:"parts"`
+	Fingerprint  string   `json:"request,omitempty"`
 }
 
 type clearanceRow struct {
 	Service      string `json:"service"`
 	Organisation string `json:"organisation"`
-	Part         string `json:"part"`
-	AtMS         int64  `json:"at_ms"` // Unix milliseconds by the entry's clock.
+	Part         string `json:"part,omitempty"`
+	Fingerprint  string `json:"request,omitempty"` // Instead of a part.
+	AtMS         int64  `json:"at_ms"`             // Unix milliseconds by the entry's clock.
 }
 
 func encodeRecord(record poison.Record) []byte {
@@ -49,9 +51,13 @@
 		row.Crashes = append(row.Crashes, encoded)
 	}
 	for _, clearance := range record.Clearances {
-		row.Cleared = append(row.Cleared, clearanceRow{
-			Service: clearance.Service, Organisation: clearance.Organisation, Part: clearance.Part, AtMS: clearance.At.UnixMilli(),
-		})
+		encoded := clearanceRow{Service: clearance.Service, Organisation: clearance.Organisation, AtMS: clearance.At.UnixMilli()}
+		if clearance.Trait.Kind == poison.WholeRequest {
+			encoded.Fingerprint = clearance.Trait.ID
+		} else {
+			encoded.Part = clearance.Trait.ID
+		}
+		row.Cleared = append(row.Cleared, encoded)
 	}
 	data, err := json.Marshal(row)
 	if err != nil {
@@ -74,8 +80,12 @@
 		record.Crashes = append(record.Crashes, decoded)
 	}
 	for _, clearance := range row.Cleared {
+		trait := poison.Trait{Kind: poison.PromptPart, ID: clearance.Part}
+		if clearance.Fingerprint != "" {
+			trait = poison.Trait{Kind: poison.WholeRequest, ID: clearance.Fingerprint}
+		}
 		record.Clearances = append(record.Clearances, poison.Clearance{
-			Service: clearance.Service, Organisation: clearance.Organisation, Part: clearance.Part, At: time.UnixMilli(clearance.AtMS),
+			Service: clearance.Service, Organisation: clearance.Organisation, Trait: trait, At: time.UnixMilli(clearance.AtMS),
 		})
 	}
 	return record, nil
