Count requests whose exchange was abandoned as suspects of a crash

Only exchanges that the server broke off were compared. A caller who always leaves early kept a request out of quarantine for ever.

Change: an exchange that the entry breaks off before the server has answered (its caller left, the deadline passed, the stream moved on) is remembered for a second, 32 a server. It becomes a suspect if the server turns out to have ended: another exchange breaks, or the next connection is refused, which starts the check.

--- a/server/deployed/crashing_prompts_test.go
+++ b/server/deployed/crashing_prompts_test.go
@@ -114,6 +114,16 @@
 			},
 			crashesToLearn: 3, leastSound: 0.95, leastSoundSoon: 0.8,
 		},
+		"callers who leave before the server ends": {
+			sound: func(f *fleet, client *http.Client, random *rand.Rand) bool {
+				return f.sendTo(client, random, fmt.Sprintf("/look/%08x", random.Uint32()))
+			},
+			crashing: func(f *fleet, client *http.Client, random *rand.Rand) bool {
+				impatient := &http.Client{Transport: client.Transport, Timeout: crashDelay * 2 / 3}
+				return f.sendTo(impatient, random, "/look"+crashingTarget)
+			},
+			crashesToLearn: 3, leastSound: 0.95, leastSoundSoon: 0.8,
+		},
 		"prompts that share parts with sound ones": {
 			sound: func(f *fleet, client *http.Client, random *rand.Rand) bool {
 				return f.send(client, random, firstParts[0], pick(random, subjects))
--- a/server/deployed/fleet_test.go
+++ b/server/deployed/fleet_test.go
@@ -37,6 +37,8 @@
 	crashingPart = "bad0bad0"
 	// crashingTarget ends the target of requests that crash servers.
 	crashingTarget = "/crash"
+	// crashDelay is the time from the arrival of such a request until the server ends.
+	crashDelay = 30 * time.Millisecond
 	// restartTime is the time after which a crashed server is back.
 	restartTime = 600 * time.Millisecond
 )
@@ -174,7 +176,7 @@
 	e.fleet.mu.Lock()
 	e.fleet.reached = append(e.fleet.reached, time.Now())
 	e.fleet.mu.Unlock()
-	time.Sleep(30 * time.Millisecond)
+	time.Sleep(crashDelay)
 	e.crash.Do(func() {
 		e.fleet.mu.Lock()
 		e.fleet.crashes = append(e.fleet.crashes, time.Now())
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -218,12 +218,16 @@
 		c.predictedFirstEventAt = time.Now().Add(decision.PredictedFirstEvent)
 	}
 	c.end, c.eventsBefore, c.firstEventAt = "", c.relayedEvents, time.Time{}
+	sendsBefore := c.sends
 	outcome, failure := c.sendMigratable(ctx, service, decision.Server)
 	closed := c.gateway.dispatchers.release(service, decision.Server.ID, outcome)
 	if failure == nil {
 		return nil
 	}
 	c.groupClosed = closed
+	if outcome == dispatch.CallerLeft && c.sends > sendsBefore && !c.answering() {
+		c.gateway.guard.Abandoned(request, decision.Server.ID, decision.Server.Address, c.sentAt)
+	}
 	c.observeBroken(service, decision.Server, request)
 	c.avoidServer = decision.Server.ID
 	if closed && outcome == dispatch.Busy {
@@ -334,6 +338,9 @@
 		MaxIdle: c.snapshot.Service(service).MaxConnections / (2 * c.gateway.assumedEntries()),
 	})
 	if err != nil {
+		if upstream.EndOf(err) == upstream.Refused && c.gateway.dispatchers.expectedToRun(service, server.ID) {
+			c.gateway.guard.Refused(service, server.ID, server.Address)
+		}
 		return dispatch.Unreachable, result.Errorf(result.NoBackendServer, "%v", err)
 	}
 	c.sends++
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -56,6 +56,10 @@
 	Answered(request quarantine.Request)
 	// Broken records that a server broke an exchange off before it had answered.
 	Broken(request quarantine.Request, server, address string, sentAt time.Time)
+	// Abandoned records that the gateway broke an exchange off before the server had answered.
+	Abandoned(request quarantine.Request, server, address string, sentAt time.Time)
+	// Refused records that no process listens at the server's address.
+	Refused(service, server, address string)
 	// Refresh records a sign that a server may have crashed.
 	Refresh()
 }
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -121,6 +121,8 @@
 func (unguarded) Check(quarantine.Request) *result.Error                    { return nil }
 func (unguarded) Queued(quarantine.Request, context.CancelCauseFunc) func() { return func() {} }
 func (unguarded) Answered(quarantine.Request)                               {}
+func (unguarded) Refused(string, string, string)                            {}
+func (unguarded) Abandoned(quarantine.Request, string, string, time.Time)   {}
 func (unguarded) Broken(quarantine.Request, string, string, time.Time)      {}
 func (unguarded) Refresh()                                                  {}
 
--- a/server/quarantine/quarantine.go
+++ b/server/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,11 @@
 	// minExecution is the shortest time in which a server reads a prompt and begins to
 	// answer it. A request sent later than that before a crash is no suspect.
 	minExecution = 5 * time.Millisecond
+	// abandonedWindow is how long a request whose exchange this entry has broken off itself
+	// may still crash its server: servers notice closed connections late.
+	abandonedWindow = time.Second
+	// maxAbandoned bounds the requests that are remembered for one server.
+	maxAbandoned = 32
 	// maxLoggedSuspects bounds a log line about a server that has ended.
 	maxLoggedSuspects = 16
 
@@ -85,7 +91,8 @@
 	refresh  chan struct{}
 
 	mu          sync.Mutex
-	suspicions  map[string]*suspicion // Broken exchanges that are being checked, by server ID.
+	suspicions  map[string]*suspicion          // Broken exchanges that are being checked, by server ID.
+	abandoned   map[string][]abandonedExchange // Exchanges that this entry broke off, by server ID.
 	waiting     map[*waiter]bool
 	refreshedAt time.Time
 }
@@ -98,6 +105,13 @@
 	ended    bool // Set by the check.
 }
 
+// abandonedExchange is an exchange that this entry broke off before the server had
+// answered.
+type abandonedExchange struct {
+	suspect poison.Suspect
+	at      time.Time
+}
+
 // waiter is a request that waits in a queue.
 type waiter struct {
 	request Request
@@ -108,7 +122,7 @@
 func New(entry string, store Store, dial func(ctx context.Context, network, address string) (net.Conn, error), log *logrus.Entry, metrics *Metrics, restores prometheus.Counter) *Quarantine {
 	q := &Quarantine{
 		entry: entry, store: store, dial: dial, log: log, metrics: metrics, restores: restores,
-		refresh: make(chan struct{}, 1), suspicions: map[string]*suspicion{}, waiting: map[*waiter]bool{},
+		refresh: make(chan struct{}, 1), suspicions: map[string]*suspicion{}, abandoned: map[string][]abandonedExchange{}, waiting: map[*waiter]bool{},
 	}
 	q.loop = loop.New(poison.Step, func(state poison.State) *poison.Verdicts { return state.Verdicts }, q.execute, nil)
 	return q
@@ -195,8 +209,51 @@
 		}
 		return
 	}
-	q.suspicions[server] = &suspicion{suspects: []poison.Suspect{request.Suspect}, since: time.Now()}
-	time.AfterFunc(confirmDelay, func() { q.confirm(request.Service, server, address) })
+	q.suspect(request.Service, server, address, request.Suspect)
+}
+
+// suspect starts the check whether the server has ended. The caller holds the lock.
+func (q *Quarantine) suspect(service, server, address string, suspects ...poison.Suspect) {
+	suspects = append(suspects, q.takeAbandoned(server)...)
+	q.suspicions[server] = &suspicion{suspects: suspects, since: time.Now()}
+	time.AfterFunc(confirmDelay, func() { q.confirm(service, server, address) })
+}
+
+// Abandoned records that this entry has broken an exchange off before the server had
+// answered, as its caller left, say. The request becomes evidence if the server turns out
+// to have ended within abandonedWindow.
+func (q *Quarantine) Abandoned(request Request, server, address string, sentAt time.Time) {
+	q.mu.Lock()
+	known := q.suspicions[server]
+	if known == nil && time.Since(sentAt) >= minExecution && len(q.abandoned[server]) < maxAbandoned {
+		q.abandoned[server] = append(q.abandoned[server], abandonedExchange{request.Suspect, time.Now()})
+	}
+	q.mu.Unlock()
+	if known != nil {
+		q.Broken(request, server, address, sentAt)
+	}
+}
+
+// Refused records that no process listens at the server's address.
+func (q *Quarantine) Refused(service, server, address string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if suspects := q.takeAbandoned(server); len(suspects) > 0 && q.suspicions[server] == nil {
+		q.suspect(service, server, address, suspects...)
+	}
+}
+
+// takeAbandoned returns the requests that this entry has abandoned at the server within
+// abandonedWindow, and forgets them. The caller holds the lock.
+func (q *Quarantine) takeAbandoned(server string) []poison.Suspect {
+	var suspects []poison.Suspect
+	for _, exchange := range q.abandoned[server] {
+		if time.Since(exchange.at) < abandonedWindow {
+			suspects = append(suspects, exchange.suspect)
+		}
+	}
+	delete(q.abandoned, server)
+	return suspects
 }
 
 // confirm checks whether the server has ended, and if so reports the crash.
@@ -233,7 +290,8 @@
 	return listed
 }
 
-// dropSuspicions removes the suspicions that have been checked until ctx ends.
+// dropSuspicions removes the suspicions that have been checked, and what was abandoned long
+// ago, until ctx ends.
 func (q *Quarantine) dropSuspicions(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, confirmInterval)
@@ -243,6 +301,12 @@
 				delete(q.suspicions, server)
 			}
 		}
+		for server, exchanges := range q.abandoned {
+			exchanges = slices.DeleteFunc(exchanges, func(e abandonedExchange) bool { return time.Since(e.at) > abandonedWindow })
+			if q.abandoned[server] = exchanges; len(exchanges) == 0 {
+				delete(q.abandoned, server)
+			}
+		}
 		q.mu.Unlock()
 	}
 }
--- a/server/quarantine/quarantine_test.go
+++ b/server/quarantine/quarantine_test.go
@@ -97,6 +97,29 @@
 			defer quarantines[2].Queued(bad, cancelLate)()
 			So(late.Err(), ShouldNotBeNil)
 		})
+		Convey("a request whose callers left just before its servers ended is refused, whoever notices the ends", func() {
+			for i, server := range []string{"i-1", "i-2"} {
+				address := endedServer()
+				quarantines[i].Abandoned(bad, server, address, longAgo)
+				if i == 0 {
+					quarantines[i].Refused(bad.Service, server, address)
+				} else {
+					quarantines[i].Broken(Request{Service: "s", Suspect: poison.Suspect{Organisation: "o", Fingerprint: "sound"}}, server, address, longAgo)
+				}
+				time.Sleep(1100 * time.Millisecond)
+			}
+			So(eventually(func() bool { return quarantines[2].Check(bad) != nil }), ShouldBeTrue)
+		})
+		Convey("a request that was abandoned long before its server ended is no evidence", func() {
+			for _, server := range []string{"i-1", "i-2"} {
+				address := endedServer()
+				quarantines[0].Abandoned(bad, server, address, longAgo)
+				time.Sleep(abandonedWindow + confirmInterval/10)
+				quarantines[0].Refused(bad.Service, server, address)
+			}
+			time.Sleep(200 * time.Millisecond)
+			So(quarantines[0].Check(bad), ShouldBeNil)
+		})
 		Convey("a server that breaks exchanges off and goes on accuses nothing, nor do requests that had just been sent", func() {
 			running, err := net.Listen("tcp", "127.0.0.1:0")
 			So(err, ShouldBeNil)
