Let nothing explain a request that crashes servers

Found by reading the mend: a popular request that an entry has not seen answered since its start, and that was at one crashed server more, explained the request that ends servers, so that entry let it through until the popular one had been answered.

Explaining spares callers that have a part in common with crashing prompts. Refusing one whole request spares nobody, so it stands by itself.

Test: TestRepeatedRequest, a sound request at more servers; failed before.

--- a/policy/poison/request_test.go
+++ b/policy/poison/request_test.go
@@ -38,6 +38,17 @@
 			So(f.refusesRequest(entry, request("y")), ShouldBeFalse)
 		}
 	})
+	Convey("It is refused too where a sound request, which nobody there has seen answered, was at more servers", t, func() {
+		f := newFleet("e1")
+		for i := range 3 {
+			suspects := []Suspect{request("popular")}
+			if i > 0 {
+				suspects = append(suspects, bad)
+			}
+			f.crash("e1", fmt.Sprint("i-", i), suspects...)
+		}
+		So(f.refusesRequest("e1", bad), ShouldBeTrue)
+	})
 	Convey("It explains the parts of its prompt: other requests with them are not refused", t, func() {
 		f := newFleet("e1")
 		for i := range 3 {
--- a/policy/poison/verdict.go
+++ b/policy/poison/verdict.go
@@ -181,12 +181,12 @@
 
 // explains reports whether the crashes of the weaker trait are due to the stronger one. A
 // request refused by itself costs other callers nothing, so it explains a part at the same
-// servers, and no part explains a request.
+// servers, and nothing explains a request.
 func explains(strongerKind Kind, stronger Accusation, weakerKind Kind, weaker Accusation) bool {
-	if strongerKind == PromptPart && weakerKind == WholeRequest || !containsAll(stronger.Servers, weaker.Servers) {
+	if weakerKind == WholeRequest || !containsAll(stronger.Servers, weaker.Servers) {
 		return false
 	}
-	return strongerKind != weakerKind || len(stronger.Servers) > len(weaker.Servers)
+	return strongerKind == WholeRequest || len(stronger.Servers) > len(weaker.Servers)
 }
 
 func containsAll(all, some []string) bool {
