Simulate one request that comes again, in groups and plain services, with faults

Ten patterns in the reducers alone: a group in lock-step and a plain service of three, 4, 53 and 330 entries, one bad request a second or eight, entries that restart and are cut off, a popular sound request of a fifth of the load; each entry sends what was at an ended plain server once more.

--- a/policy/poison/group_test.go
+++ b/policy/poison/group_test.go
@@ -18,7 +18,8 @@
 
 var seedCount = flag.Uint64("poison.seeds", 0, "number of seeds of each pattern; 0 for the usual one")
 
-// groupLoad is a pattern of requests to a group of servers in lock-step.
+// groupLoad is a pattern of requests to a group of servers in lock-step, or to a plain
+// service.
 type groupLoad struct {
 	entries       int
 	perSecond     float64 // Sound requests.
@@ -27,10 +28,17 @@
 	subjects      int     // Number of second parts, which crashing prompts have as well.
 	organisations int
 	faults        bool // Entries restart and are cut off from the store all the time.
+	repeated      bool // One request crashes servers and comes again, instead of prompts with a part.
+	plain         bool // The servers don't stop together, and their requests have no prompts.
 }
 
 const (
 	groupServers    = 12
+	plainServers    = 3
+	plainRestart    = 3300 * time.Millisecond // From the end of a plain server until it is back.
+	plainAnswerTime = 30 * time.Millisecond
+	popularShare    = 0.2                     // Share of the sound requests that are one and the same.
+	attempts        = 2                       // Of an entry for one request to a plain service.
 	firstPassTime   = 220 * time.Millisecond  // From sending a request to the first event.
 	crashDelay      = 80 * time.Millisecond   // From the first pass of a crashing prompt to the end of its server.
 	stallTime       = 1500 * time.Millisecond // After which the other servers break off what they have begun.
@@ -41,6 +49,7 @@
 	loadPeriod      = 40 * time.Second
 	contactTime     = 3 * time.Second
 	crashesToLearn  = 5
+	repeatsToLearn  = 3 // The same for one request that comes again.
 	allowedSends    = 3
 	mostRefused     = 0.05 // Sound requests refused by an accusation, of all that were decided.
 	badPart         = "bad"
@@ -52,13 +61,18 @@
 )
 
 type simRequest struct {
+	id            int // Of the attempt.
 	entry, server int
 	organisation  string
 	parts         []string
+	fingerprint   string
 	bad           bool
+	attempt       int
 }
 
-func (r simRequest) suspect() Suspect { return Suspect{Organisation: r.organisation, Parts: r.parts} }
+func (r simRequest) suspect() Suspect {
+	return Suspect{Organisation: r.organisation, Parts: r.parts, Fingerprint: r.fingerprint}
+}
 
 // simulation runs a groupLoad over the reducers of all entries.
 type simulation struct {
@@ -74,6 +88,7 @@
 	sequence int
 
 	closed      bool
+	downUntil   [plainServers]time.Time
 	incarnation [groupServers]int
 	queue       []simRequest
 	running     []simRequest
@@ -125,12 +140,11 @@
 			continue
 		}
 		s.version++
-		row := Row{Entry: name, Version: s.version, Record: write.Record}
-		s.rows[name] = row
+		s.rows[name] = Row{Entry: name, Version: s.version, Record: write.Record}
 		for other := range s.states {
 			s.after(time.Duration(s.random.Int64N(int64(maxRecordDelay))), func() {
 				if !s.cut(other) {
-					s.step(other, RowRead{Row: row})
+					s.step(other, RowRead{Row: s.rows[name]}) // A poll reads the latest version.
 				}
 			})
 		}
@@ -181,8 +195,17 @@
 		entry: s.random.IntN(s.load.entries), bad: bad, organisation: fmt.Sprint("o", s.skewed(s.load.organisations)),
 		parts: []string{fmt.Sprint("first", s.skewed(s.load.firstParts)), fmt.Sprint("subject", s.skewed(s.load.subjects))},
 	}
-	if bad {
+	request.fingerprint = fmt.Sprint("unique", s.sequence)
+	switch {
+	case bad && s.load.repeated:
+		request.fingerprint, request.organisation = badPart, "o0"
+	case bad:
 		request.parts = append(request.parts, badPart)
+	case s.load.repeated && s.random.Float64() < popularShare:
+		request.fingerprint, request.organisation = "popular", "o0"
+	}
+	if s.load.plain {
+		request.parts = nil
 	}
 	if !s.closed {
 		s.send(request)
@@ -198,32 +221,73 @@
 
 // send sends the request unless its entry refuses it.
 func (s *simulation) send(request simRequest) {
-	if !request.bad {
+	if !request.bad && request.attempt == 0 {
 		s.decided++
 	}
 	if trait, accusation, found := s.states[request.entry].Verdicts.Find("s", request.suspect(), s.now); found {
-		if !request.bad {
+		if !request.bad && request.attempt == 0 {
 			s.refused++
 			s.explanation = fmt.Sprintf("%s of %s: %+v", trait.ID, request.organisation, accusation)
 		}
 		return
 	}
+	server, found := s.choose()
+	if !found {
+		return // Fails: all servers are down.
+	}
 	if request.bad && s.now.Sub(s.faultyAt[request.entry]) > contactTime {
 		s.badSends = append(s.badSends, s.now)
 	}
-	request.server = s.random.IntN(groupServers)
+	s.sequence++
+	request.server, request.id = server, s.sequence
 	s.running = append(s.running, request)
+	answer, crash := answerTime, func() { s.crash(request) }
+	crashAfter := firstPassTime + crashDelay
+	if s.load.plain {
+		answer, crashAfter, crash = plainAnswerTime, crashDelay, func() { s.crashPlain(request) }
+	}
 	if !request.bad {
-		s.after(answerTime, func() { s.answer(request) })
+		s.after(answer, func() { s.answer(request) })
 		return
 	}
-	s.after(firstPassTime+crashDelay, func() { s.crash(request.server) })
+	s.after(crashAfter, crash)
+}
+
+// choose draws a server that runs.
+func (s *simulation) choose() (server int, found bool) {
+	if !s.load.plain {
+		return s.random.IntN(groupServers), true
+	}
+	var up []int
+	for server, until := range s.downUntil {
+		if !s.now.Before(until) {
+			up = append(up, server)
+		}
+	}
+	if len(up) == 0 {
+		return 0, false
+	}
+	return up[s.random.IntN(len(up))], true
+}
+
+// crashPlain ends the request's server if the request still runs there. The entries send
+// what was there once more.
+func (s *simulation) crashPlain(request simRequest) {
+	if !s.runs(request) {
+		return // Its server has ended before.
+	}
+	s.downUntil[request.server] = s.now.Add(plainRestart)
+	for _, other := range s.end(request.server) {
+		if other.attempt++; other.attempt < attempts {
+			s.send(other)
+		}
+	}
 }
 
 // answer ends a request whose group has gone on.
 func (s *simulation) answer(request simRequest) {
 	for i, other := range s.running {
-		if &other.parts[0] == &request.parts[0] {
+		if other.id == request.id {
 			s.running = append(s.running[:i:i], s.running[i+1:]...)
 			s.step(request.entry, Answered{"s", request.suspect()})
 			return
@@ -231,22 +295,40 @@
 	}
 }
 
-// crash ends a server and with it the group. Entries observe it if they had requests there;
+// runs reports whether the request is still at its server.
+func (s *simulation) runs(request simRequest) bool {
+	return slices.ContainsFunc(s.running, func(other simRequest) bool { return other.id == request.id })
+}
+
+// crash ends the request's server and with it the group. Entries observe it if they had requests there;
 // the other servers break off later what they have begun.
-func (s *simulation) crash(server int) {
-	if s.closed && len(s.running) == 0 {
-		return // The group had stopped before this request began.
+func (s *simulation) crash(request simRequest) {
+	if !s.runs(request) {
+		return // The group had stopped before this request began, or its server has ended before.
 	}
+	s.end(request.server)
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.after(crashDelay, func() { s.running = keepBad(s.stall()) })
+	s.after(2*crashDelay, func() { s.running = nil })
+	s.after(formTime, s.open)
+}
+
+// end ends a server, which the entries observe that had requests there, and returns these
+// requests.
+func (s *simulation) end(server int) (ended []simRequest) {
 	s.crashes = append(s.crashes, s.now)
 	suspects := map[int][]Suspect{}
 	var others []simRequest
 	for _, request := range s.running {
-		switch {
-		case request.server != server:
+		if request.server != server {
 			others = append(others, request)
-		default:
-			suspects[request.entry] = append(suspects[request.entry], request.suspect())
+			continue
 		}
+		ended = append(ended, request)
+		suspects[request.entry] = append(suspects[request.entry], request.suspect())
 	}
 	s.running = others
 	crash := Crash{Service: "s", Server: fmt.Sprintf("i-%d-%d", server, s.incarnation[server]), At: s.now}
@@ -256,13 +338,7 @@
 		observed.Suspects = suspects[entry]
 		s.step(entry, CrashObserved{Crash: observed})
 	}
-	if s.closed {
-		return
-	}
-	s.closed = true
-	s.after(crashDelay, func() { s.running = keepBad(s.stall()) })
-	s.after(2*crashDelay, func() { s.running = nil })
-	s.after(formTime, s.open)
+	return ended
 }
 
 // stall schedules the end of what the other servers have begun and returns it.
@@ -337,6 +413,33 @@
 		"330 entries, each sees few prompts":  {entries: 330, perSecond: 200, badPerSecond: 4, firstParts: 60, subjects: 100, organisations: 10},
 		"330 entries, many crashing requests": {entries: 330, perSecond: 200, badPerSecond: 12, firstParts: 60, subjects: 100, organisations: 10},
 	}
+	playLoads(t, loads)
+}
+
+// Guards against one request that comes again and ends server after server (BUDGET), also
+// while entries restart and are cut off, and against refusing a sound request that many
+// callers send.
+func TestRepeatedRequestUnderLoad(t *testing.T) {
+	group := groupLoad{entries: 4, perSecond: 57, badPerSecond: 1, firstParts: 60, subjects: 40, organisations: 10, repeated: true}
+	plain := groupLoad{entries: 4, perSecond: 8, badPerSecond: 1, firstParts: 1, subjects: 1, organisations: 10, repeated: true, plain: true}
+	loads := map[string]groupLoad{}
+	for shape, load := range map[string]groupLoad{"a group": group, "a plain service": plain} {
+		loads[shape+", as in the incident"] = load
+		often := load
+		often.badPerSecond = 8
+		loads[shape+", often"] = often
+		load.faults = true
+		loads[shape+", entries restart and are cut off"] = load
+		load.entries, load.perSecond = 53, 200
+		loads[shape+", 53 entries that restart and are cut off"] = load
+		load.entries, load.faults = 330, false
+		loads[shape+", 330 entries"] = load
+	}
+	playLoads(t, loads)
+}
+
+// playLoads plays some seeds of each load.
+func playLoads(t *testing.T, loads map[string]groupLoad) {
 	for name, load := range loads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -350,15 +453,18 @@
 			for seed := range seeds {
 				s := &simulation{load: load, random: rand.New(rand.NewPCG(seed, 1))}
 				s.run()
-				late := 0
-				if len(s.crashes) >= crashesToLearn {
+				late, toLearn := 0, crashesToLearn
+				if load.repeated {
+					toLearn = repeatsToLearn
+				}
+				if len(s.crashes) >= toLearn {
 					for _, at := range s.badSends {
-						if at.After(s.crashes[crashesToLearn-1].Add(contactTime)) {
+						if at.After(s.crashes[toLearn-1].Add(contactTime)) {
 							late++
 						}
 					}
 				}
-				t.Logf("seed %d: %d servers ended, %d sends later than %v after the fifth; %d of %d sound requests refused", seed, len(s.crashes), late, contactTime, s.refused, s.decided)
+				t.Logf("seed %d: %d servers ended, %d sends later than %v after number %d; %d of %d sound requests refused", seed, len(s.crashes), late, contactTime, toLearn, s.refused, s.decided)
 				if late > allowedSends {
 					t.Errorf("seed %d: %d sends, %d are allowed", seed, late, allowedSends)
 				}
