--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -42,12 +42,12 @@
 	confirmTimeout = time.Second
 )
 
-// Suspect is a request that was at a server when it crashed and that the server had not
-// answered, or had only just begun to.
+// Suspect is what requests are compared by. In a Crash it is a request that was at the
+// server and that the server had not answered, or had only just begun to.
 type Suspect struct {
 	Organisation string
 	Parts        []string // Hashes of the parts of its prompt that other requests may share.
-	Fingerprint  string
+	Fingerprint  string   // See Fingerprint; empty if unknown.
 }
 
 // Kind tells what requests with a trait have in common.
