--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -16,7 +16,9 @@
 	"math/rand/v2"
 	"time"
 
+	"persimmonwind.dev/policy/classes"
 	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/policy/workload"
 )
 
 const (
@@ -46,6 +48,9 @@
 	Priority    int       // 0 is the most urgent.
 	Avoid       string    // ID of the server that has just failed the request; empty for none.
 	FoundClosed bool      // The request was sent before and found the group closed, so it is not the next probe.
+
+	Organisation string           // Name of the caller's organisation; empty for none.
+	Work         workload.Request // Size of the request as its caller states it.
 }
 
 // Verdict is the decision about a ticket.
@@ -65,6 +70,7 @@
 	Server              topology.Candidate // The chosen server if the verdict is Go.
 	RetryAfter          time.Duration      // When the caller may retry if the verdict is Refuse.
 	Reason              string
+	Level               int           // Level of urgency of the ticket, 0 for the most urgent.
 	OwnInFlight         int           // Requests of this entry in flight at the service.
 	TotalInFlight       int           // Requests of all entries in flight at the service, as far as known.
 	Limit               int           // Upper limit of TotalInFlight; 0 for no limit.
@@ -85,6 +91,7 @@
 	notices map[string]*notice // What servers have said of themselves, by ID.
 	queue   []Ticket
 	freedAt []time.Time // When slots became free, for the times within rateWindow.
+	classes classes.Table
 }
 
 // NewDispatcher returns a dispatcher for one service.
@@ -115,6 +122,13 @@
 	d.regroup(service.Engine, pauseGoal)
 }
 
+// SetClasses sets the levels of the service's routes.
+func (d *Dispatcher) SetClasses(table classes.Table) { d.classes = table }
+
+// FirstEvent records that the server with this ID has sent the first event of the
+// answer to a ticket, so that it has read the prompt.
+func (d *Dispatcher) FirstEvent(id string, ticket uint64, now time.Time) { d.ObserveEvent(id, now) }
+
 // SetEntries sets the reported number of running entries.
 func (d *Dispatcher) SetEntries(count int) {
 	d.warmUp.Entries = max(d.warmUp.Entries, count)
@@ -270,7 +284,7 @@
 }
 
 func (d *Dispatcher) newDecision(ticket Ticket, now time.Time) Decision {
-	decision := Decision{Ticket: ticket.ID, TotalInFlight: d.inFlight(now)}
+	decision := Decision{Ticket: ticket.ID, Level: d.classes.Level(ticket.Priority), TotalInFlight: d.inFlight(now)}
 	for _, g := range d.groups {
 		decision.Limit += g.limit()
 	}
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -63,6 +63,8 @@
 	Open   bool    // The server's group takes work.
 	Pace   float64 // Slowdown relative to a normal server; over 1 for a slow one.
 	Group  string  // Name of the server's group; empty if unknown.
+
+	MemoryTokens int // Tokens in the server's memory that can't be evicted; 0 if unknown.
 }
 
 // Report records the reported load of a server.
