Build only the platform's commands for the users' platform

The deployed binary held the stand-ins, the development system and the product's own entry and agent. The build tag platform_only leaves them out; a build without it has all commands as before.

--- a/server/cmd/persimmonwind/main.go
+++ b/server/cmd/persimmonwind/main.go
@@ -11,6 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
+
+	"persimmonwind.dev/server/logevent"
 )
 
 func main() {
@@ -23,16 +25,14 @@
 }
 
 func newRootCommand() *cobra.Command {
-	var profiles string
 	root := &cobra.Command{
 		Use:           "persimmonwind",
 		Short:         "Load balancer for expert-parallel model groups",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.PersistentPreRunE = func(*cobra.Command, []string) error { return serveProfiles(profiles) }
-	root.PersistentFlags().StringVar(&profiles, "pprof", "", "loopback address that serves the runtime's profiles (default: none)")
-	root.AddCommand(newEntryCommand(), newAgentCommand(), newPlatformCommand(), newDevCommand(), newStandInCommand())
+	root.AddCommand(newPlatformCommand())
+	addStandaloneCommands(root)
 	return root
 }
 
@@ -42,3 +42,13 @@
 	logger.SetOutput(os.Stderr)
 	return logrus.NewEntry(logger)
 }
+
+// logExit logs whether the process stopped or failed, and returns err.
+func logExit(log *logrus.Entry, err error) error {
+	if err != nil {
+		logevent.Write(log, logevent.ProcessFailed, logrus.Fields{"error": err.Error()})
+		return err
+	}
+	logevent.Write(log, logevent.ProcessStopped, nil)
+	return nil
+}
--- a/server/cmd/persimmonwind/processes.go
+++ b/server/cmd/persimmonwind/processes.go
@@ -1,3 +1,5 @@
+//go:build !platform_only
+
 package main
 
 import (
@@ -6,13 +8,11 @@
 	"net"
 	"os"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"persimmonwind.dev/server/agent"
 	"persimmonwind.dev/server/entry"
 	"persimmonwind.dev/server/keys"
-	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/settings"
 )
 
@@ -95,13 +95,3 @@
 	}
 	return keys.NewReloader(files)
 }
-
-// logExit logs whether the process stopped or failed, and returns err.
-func logExit(log *logrus.Entry, err error) error {
-	if err != nil {
-		logevent.Write(log, logevent.ProcessFailed, logrus.Fields{"error": err.Error()})
-		return err
-	}
-	logevent.Write(log, logevent.ProcessStopped, nil)
-	return nil
-}
--- a/server/cmd/persimmonwind/standin.go
+++ b/server/cmd/persimmonwind/standin.go
@@ -1,3 +1,5 @@
+//go:build !platform_only
+
 package main
 
 import (
