Pass classes, organisation and stated work to the dispatcher

Cause: the dispatcher of a service does not know which of its routes are urgent, whose a request is and how large it is. Change: dispatchers.configure builds the table of each service from all streaming routes that have it as a target, split ones included, and sets it before Configure. Tickets carry the organisation and the stated work. First events and ends name the ticket. A stated number counts for at most 2^20 tokens, so that sums of invented numbers stay small.

Tested: go test -race ./gateway in server, ok (11 s).

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -62,6 +62,7 @@
 
 // latestAttempt is the state of the latest attempt.
 type latestAttempt struct {
+	placement             *placement   // The dispatcher's decision by which the request was sent.
 	server                string       // The server; for the log.
 	sentAt                time.Time    // When the request was sent.
 	firstEventAt          time.Time    // When the first event arrived; zero for none.
@@ -123,7 +124,7 @@
 		c.quarantined = true
 		return refused
 	}
-	decision, err := c.acquire(ctx, service, request)
+	placed, err := c.acquire(ctx, service, request)
 	var refused *result.Error
 	if errors.As(err, &refused) {
 		c.quarantined = true
@@ -135,30 +136,31 @@
 		}
 		return result.Errorf(result.DeadlineExceeded, "no server slot became free before the deadline")
 	}
-	c.logDecision(decision)
-	if decision.Verdict == dispatch.Refuse {
+	c.logDecision(placed)
+	if placed.Verdict == dispatch.Refuse {
 		c.refusedByDispatcher = true
-		refusal := result.Errorf(result.Overloaded, "%s", decision.Reason)
-		refusal.RetryAfter = decision.RetryAfter
+		refusal := result.Errorf(result.Overloaded, "%s", placed.Reason)
+		refusal.RetryAfter = placed.RetryAfter
 		return refusal
 	}
-	c.server = decision.Server.ID
-	if decision.PredictedFirstEvent > 0 && !c.responseStarted {
-		c.predictedFirstEventAt = time.Now().Add(decision.PredictedFirstEvent)
+	server := placed.Server
+	c.server, c.placement = server.ID, placed
+	if placed.PredictedFirstEvent > 0 && !c.responseStarted {
+		c.predictedFirstEventAt = time.Now().Add(placed.PredictedFirstEvent)
 	}
 	c.end, c.eventsBefore, c.firstEventAt = "", c.relayedEvents, time.Time{}
 	sendsBefore := c.sends
-	outcome, failure := c.sendMigratable(ctx, service, decision.Server)
-	closed := c.gateway.dispatchers.release(service, decision.Server.ID, outcome)
+	outcome, failure := c.sendMigratable(ctx, service, server)
+	closed := c.gateway.dispatchers.release(service, placed, outcome)
 	if failure == nil {
 		return nil
 	}
 	c.groupClosed = closed
 	if outcome == dispatch.CallerLeft && c.sends > sendsBefore && !c.answering() {
-		c.gateway.guard.Abandoned(request, decision.Server.ID, decision.Server.Address, c.sentAt)
+		c.gateway.guard.Abandoned(request, server.ID, server.Address, c.sentAt)
 	}
-	c.observeBroken(service, decision.Server, request)
-	c.avoidServer = decision.Server.ID
+	c.observeBroken(service, server, request)
+	c.avoidServer = server.ID
 	if closed && outcome == dispatch.Busy {
 		c.foundGroupClosed = true
 		failure = result.Errorf(result.GroupWaiting, "%s", failure.Detail)
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"persimmonwind.dev/policy/classes"
 	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/server/logevent"
@@ -34,10 +35,24 @@
 // dispatcher is the dispatcher of one service with the requests that wait for it.
 type dispatcher struct {
 	*dispatch.Dispatcher
-	waitingTickets    map[uint64]chan dispatch.Decision            // By ticket ID; each channel receives the decision about a queued request.
+	byClass           bool                                         // Requests of the service are scheduled by class.
+	waitingTickets    map[uint64]*waitingTicket                    // By ticket ID.
 	migratableStreams map[string]map[*call]context.CancelCauseFunc // By server; each function cancels the exchange of one stream, so that another server continues it.
 }
 
+// waitingTicket is a queued ticket.
+type waitingTicket struct {
+	since   time.Time
+	decided chan *placement // Receives the decision.
+}
+
+// placement is the dispatcher's decision about a ticket.
+type placement struct {
+	dispatch.Decision
+	byClass bool          // The request is scheduled by class.
+	waited  time.Duration // Time in the queue.
+}
+
 func newDispatchers(warmUp dispatch.WarmUpLimit, log *logrus.Entry) *dispatchers {
 	return &dispatchers{warmUp: warmUp, log: log, byService: map[string]*dispatcher{}}
 }
@@ -50,14 +65,16 @@
 		return
 	}
 	d.snapshot = snapshot
-	targets := interTokenTargets(snapshot.Config)
+	targets, tables := interTokenTargets(snapshot.Config), classTables(snapshot.Config)
 	for name := range snapshot.Config.Services {
 		if d.byService[name] == nil {
-			d.byService[name] = &dispatcher{Dispatcher: dispatch.NewDispatcher(d.warmUp), waitingTickets: map[uint64]chan dispatch.Decision{}, migratableStreams: map[string]map[*call]context.CancelCauseFunc{}}
+			d.byService[name] = &dispatcher{Dispatcher: dispatch.NewDispatcher(d.warmUp), waitingTickets: map[uint64]*waitingTicket{}, migratableStreams: map[string]map[*call]context.CancelCauseFunc{}}
 		}
 	}
 	for name, dispatcher := range d.byService {
 		dispatcher.SetEntries(d.entries)
+		dispatcher.SetClasses(tables[name])
+		dispatcher.byClass = tables[name].Enabled()
 		dispatcher.Configure(snapshot.Candidates(name), snapshot.Service(name), targets[name], time.Now())
 		dispatcher.resolveWaiting()
 	}
@@ -78,6 +95,24 @@
 	return shortest
 }
 
+// classTables returns, for each service, the levels of the streaming routes to it.
+func classTables(config *topology.Configuration) map[string]classes.Table {
+	routes := map[string][]classes.Route{}
+	for _, route := range config.Routes {
+		if route.Kind != topology.Stream {
+			continue
+		}
+		for _, target := range route.Targets {
+			routes[target.Service] = append(routes[target.Service], classes.Route{Priority: route.Priority, Objective: route.Objective})
+		}
+	}
+	tables := make(map[string]classes.Table, len(routes))
+	for service, ofService := range routes {
+		tables[service] = classes.NewTable(ofService)
+	}
+	return tables
+}
+
 // setEntries sets the reported number of running entries.
 func (d *dispatchers) setEntries(count int) {
 	d.mu.Lock()
@@ -91,51 +126,61 @@
 // acquire returns the dispatcher's decision about the ticket, which is never Wait. If
 // the ticket is queued, acquire calls onWait and blocks until the ticket is decided;
 // it cancels the ticket if ctx ends before.
-func (d *dispatchers) acquire(ctx context.Context, service string, ticket dispatch.Ticket, onWait func(dispatch.Decision)) (dispatch.Decision, error) {
+func (d *dispatchers) acquire(ctx context.Context, service string, ticket dispatch.Ticket, onWait func(*placement)) (*placement, error) {
 	d.mu.Lock()
 	dispatcher := d.byService[service]
 	if dispatcher == nil {
 		d.mu.Unlock()
-		return dispatch.Decision{Verdict: dispatch.Refuse, Reason: "unknown_service", RetryAfter: time.Second}, nil
+		return &placement{Decision: dispatch.Decision{Verdict: dispatch.Refuse, Reason: "unknown_service", RetryAfter: time.Second}}, nil
 	}
 	d.nextTicketID++
 	ticket.ID = d.nextTicketID
-	decision := dispatcher.Submit(ticket, rand.Float64(), time.Now())
-	if decision.Verdict != dispatch.Wait {
+	now := time.Now()
+	placed := dispatcher.place(dispatcher.Submit(ticket, rand.Float64(), now), now, now)
+	if placed.Verdict != dispatch.Wait {
 		d.mu.Unlock()
-		return decision, nil
+		return placed, nil
 	}
-	decided := make(chan dispatch.Decision, 1)
-	dispatcher.waitingTickets[ticket.ID] = decided
+	waiting := &waitingTicket{since: now, decided: make(chan *placement, 1)}
+	dispatcher.waitingTickets[ticket.ID] = waiting
 	d.mu.Unlock()
-	onWait(decision)
+	onWait(placed)
 	select {
-	case decision = <-decided:
-		return decision, nil
+	case placed = <-waiting.decided:
+		return placed, nil
 	case <-ctx.Done():
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	select {
-	case decision = <-decided:
-		if decision.Verdict == dispatch.Go {
-			dispatcher.Done(decision.Server.ID, dispatch.CallerLeft, time.Now())
-			dispatcher.resolveWaiting()
+	case placed = <-waiting.decided:
+		if placed.Verdict == dispatch.Go {
+			dispatcher.end(placed, dispatch.CallerLeft)
 		}
 	default:
 		dispatcher.Cancel(ticket.ID)
 		delete(dispatcher.waitingTickets, ticket.ID)
 	}
-	return dispatch.Decision{}, ctx.Err()
+	return nil, ctx.Err()
 }
 
-// release frees the slot of a request at the server. It reports whether the server's
+// release frees the slot of a request that was sent. It reports whether the server's
 // group is closed, that is, accepts no new work.
-func (d *dispatchers) release(service, server string, outcome dispatch.Outcome) (closed bool) {
-	d.withService(service, func(dispatcher *dispatcher) {
-		closed = dispatcher.Done(server, outcome, time.Now())
-		dispatcher.resolveWaiting()
-	})
+func (d *dispatchers) release(service string, placed *placement, outcome dispatch.Outcome) (closed bool) {
+	d.withService(service, func(dispatcher *dispatcher) { closed = dispatcher.end(placed, outcome) })
+	return closed
+}
+
+// place returns the placement of a ticket that has waited since the given time.
+func (d *dispatcher) place(decision dispatch.Decision, since, now time.Time) *placement {
+	return &placement{Decision: decision, byClass: d.byClass, waited: now.Sub(since)}
+}
+
+// end frees the slot of a request that was sent. It reports whether the server's group is
+// closed.
+func (d *dispatcher) end(placed *placement, outcome dispatch.Outcome) (closed bool) {
+	closed = d.DoneTicket(placed.Server.ID, placed.Ticket, outcome, time.Now())
+	d.resolveWaiting()
 	return closed
 }
 
@@ -145,8 +190,10 @@
 }
 
 // observeFirstEvent records that a server has sent the first event of a stream.
-func (d *dispatchers) observeFirstEvent(service, server string) {
-	d.withService(service, func(dispatcher *dispatcher) { dispatcher.ObserveEvent(server, time.Now()) })
+func (d *dispatchers) observeFirstEvent(service string, placed *placement) {
+	d.withService(service, func(dispatcher *dispatcher) {
+		dispatcher.FirstEvent(placed.Server.ID, placed.Ticket, time.Now())
+	})
 }
 
 // gap records the time between two events of a stream.
@@ -270,9 +317,10 @@
 	if len(d.waitingTickets) == 0 {
 		return
 	}
-	for _, decision := range d.DispatchQueued(rand.Float64, time.Now()) {
-		if decided, ok := d.waitingTickets[decision.Ticket]; ok {
-			decided <- decision
+	now := time.Now()
+	for _, decision := range d.DispatchQueued(rand.Float64, now) {
+		if waiting, ok := d.waitingTickets[decision.Ticket]; ok {
+			waiting.decided <- d.place(decision, waiting.since, now)
 			delete(d.waitingTickets, decision.Ticket)
 		}
 	}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -147,6 +147,7 @@
 			if candidate.Address == report.Server {
 				g.dispatchers.report(name, candidate.ID, dispatch.Report{
 					Queued: report.Queued, Active: report.Active, Open: report.Open, Pace: report.Pace, Group: report.Group,
+					MemoryTokens: report.MemoryTokens,
 				})
 			}
 		}
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -69,7 +69,7 @@
 		now := time.Now()
 		if lastAt.IsZero() {
 			c.firstEventAt = now
-			c.gateway.dispatchers.observeFirstEvent(service, server)
+			c.gateway.dispatchers.observeFirstEvent(service, c.placement)
 		} else {
 			c.gateway.dispatchers.gap(service, server, now.Sub(lastAt))
 			c.longestEventGap = max(c.longestEventGap, now.Sub(lastAt))
--- a/server/gateway/wait.go
+++ b/server/gateway/wait.go
@@ -6,8 +6,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"persimmonwind.dev/platform"
 	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/topology"
+	"persimmonwind.dev/policy/workload"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/quarantine"
 )
@@ -22,29 +24,33 @@
 	// minFirstEventTime is how long a stream takes from dispatch to its first
 	// event: about three passes of a busy group.
 	minFirstEventTime = 300 * time.Millisecond
+
+	// maxStatedTokens is the largest number of tokens that a caller's statement counts
+	// for. It is above the memory of any engine and keeps sums of invented numbers small.
+	maxStatedTokens = 1 << 20
 )
 
 // acquire returns the dispatcher's decision about the request. It returns a
 // *result.Error if the request must not be sent to a server any more.
-func (c *call) acquire(ctx context.Context, service string, request quarantine.Request) (dispatch.Decision, error) {
+func (c *call) acquire(ctx context.Context, service string, request quarantine.Request) (*placement, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	remove := func() {}
-	decision, err := c.gateway.dispatchers.acquire(ctx, service, c.ticket(), func(decision dispatch.Decision) {
+	placed, err := c.gateway.dispatchers.acquire(ctx, service, c.ticket(), func(placed *placement) {
 		remove = c.gateway.guard.Queued(request, cancel)
-		c.logDecision(decision)
+		c.logDecision(placed)
 	})
 	remove()
 	if err != nil {
-		return decision, context.Cause(ctx)
+		return nil, context.Cause(ctx)
 	}
-	if decision.Verdict == dispatch.Go {
+	if placed.Verdict == dispatch.Go {
 		if refused := c.gateway.guard.Check(request); refused != nil {
-			c.gateway.dispatchers.release(service, decision.Server.ID, dispatch.CallerLeft)
-			return decision, refused
+			c.gateway.dispatchers.release(service, placed, dispatch.CallerLeft)
+			return nil, refused
 		}
 	}
-	return decision, nil
+	return placed, nil
 }
 
 // ticket returns the description of the request by which the dispatcher queues it and
@@ -57,9 +63,22 @@
 	return dispatch.Ticket{
 		Arrived: c.arrivedAt, SLODeadline: c.arrivedAt.Add(c.route.Objective), Deadline: c.latestStart(),
 		Priority: priority, Avoid: c.avoidServer, FoundClosed: c.foundGroupClosed,
+		Organisation: c.organisationName(), Work: statedWork(c.request),
 	}
 }
 
+// statedWork returns the size of the request as its caller states it. The hint tells more
+// of the answer's length than its maximum, which it can't exceed.
+func statedWork(request platform.Request) workload.Request {
+	output := request.OutputHint
+	if output <= 0 || request.MaxOutputTokens > 0 && output > request.MaxOutputTokens {
+		output = request.MaxOutputTokens
+	}
+	return workload.Request{PromptTokens: clampTokens(request.PromptTokens), OutputTokens: clampTokens(output)}
+}
+
+func clampTokens(count int) int { return max(0, min(count, maxStatedTokens)) }
+
 // latestStart returns the latest time at which starting the request is useful.
 // A caller gives up on a stream whose first or next event takes too long.
 func (c *call) latestStart() time.Time {
@@ -76,7 +95,7 @@
 
 // logDecision logs the dispatcher's decision, except for a plain request that is sent
 // at once.
-func (c *call) logDecision(decision dispatch.Decision) {
+func (c *call) logDecision(decision *placement) {
 	if decision.Verdict == dispatch.Go && c.sends == 0 && decision.Limit == 0 && c.route.Kind != topology.Stream {
 		return // A plain request sent at once; only its end is logged.
 	}
