Tell engines the priority of requests that are scheduled by class

Cause: an engine's own queue treats all requests alike (its default is 5), so that a late or less urgent request is read before an urgent one. Change: for enabled services the header is 3 x level, at most 6, plus 3 if the request can no longer be on time when it is sent. A stream that is resumed is late if its first event was, if a pause was too long, or if the next event would come after the longest pause. The time of the first event is taken as 2.5 of the predicted 2.9 passes, as in the dispatcher's own test. The caller's header never reaches the engine, as before. Ruled out: only counting from the objective for resumed streams, which would put all of them behind although most are still on time.

Tested: go vet ./... and go test -race ./gateway in server, ok (12 s).

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -79,6 +79,8 @@
 	relayedEvents   int
 	firstByteAt     time.Time
 	longestEventGap time.Duration // Longest time between two events from one server.
+	lastEventAt     time.Time     // When the caller got the latest event.
+	longestPause    time.Duration // Longest time between two events that the caller got.
 	buffers         []*buffer     // Answers that are held until the call ends.
 	fallbackAnswer  *answer       // A server's error response, sent to the caller unless a retry succeeds.
 }
--- a/server/gateway/classes_test.go
+++ b/server/gateway/classes_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"persimmonwind.dev/platform"
+	"persimmonwind.dev/platform/header"
+	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/policy/workload"
 )
@@ -70,3 +73,117 @@
 		})
 	}
 }
+
+// classConfiguration returns a configuration with three streaming routes of different
+// urgency to the engine service "s", and one of a plain service's kind.
+func classConfiguration() *topology.Configuration {
+	config := configuration()
+	config.Services["s"] = topology.Service{Name: "s", Engine: &topology.Engine{Slots: 4, Stride: 6, StepMS: 4.84, PerSequenceMS: 0.362}}
+	stream := config.Routes[1]
+	stream.InterTokenTarget = 150 * time.Millisecond
+	for priority, name := range []string{"summaries", "drafts", "digests"} {
+		route := stream
+		route.Name, route.Prefix, route.Priority = name, "/"+name+"/", priority
+		route.Objective = time.Duration(priority+1) * 500 * time.Millisecond
+		config.Routes = append(config.Routes, route)
+	}
+	return config
+}
+
+// Guards against a priority at the engine that favours late or less urgent requests.
+func TestEnginePriority(t *testing.T) {
+	const objective, target, predicted = 500 * time.Millisecond, 150 * time.Millisecond, 100 * time.Millisecond
+	arrived := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	cases := []struct {
+		name          string
+		level         int
+		sentAfter     time.Duration
+		firstAfter    time.Duration // When the caller got the first event, of a stream that is resumed.
+		sinceEvent    time.Duration // Time since the caller's latest event.
+		longestPause  time.Duration
+		relayedEvents int
+		want          int
+	}{
+		{"most urgent, at once", 0, 0, 0, 0, 0, 0, 0},
+		{"second level, at once", 1, 0, 0, 0, 0, 0, 3},
+		{"third level, at once", 2, 0, 0, 0, 0, 0, 6},
+		{"levels beyond the third", 200, 0, 0, 0, 0, 0, 6},
+		{"most urgent, just in time", 0, 410 * time.Millisecond, 0, 0, 0, 0, 0},
+		{"most urgent, too late", 0, 420 * time.Millisecond, 0, 0, 0, 0, 3},
+		{"levels beyond the third, too late", 200, 2 * time.Second, 0, 0, 0, 0, 9},
+		{"resumed without a pause", 0, time.Second, 300 * time.Millisecond, 50 * time.Millisecond, 90 * time.Millisecond, 5, 0},
+		{"resumed after a pause", 0, time.Second, 300 * time.Millisecond, 90 * time.Millisecond, 90 * time.Millisecond, 5, 3},
+		{"resumed, an earlier pause was too long", 0, time.Second, 300 * time.Millisecond, 0, 160 * time.Millisecond, 5, 3},
+		{"resumed, the first event was late", 0, time.Second, 600 * time.Millisecond, 0, 0, 5, 3},
+	}
+	for _, c := range cases {
+		Convey("Of a request: "+c.name, t, func() {
+			sent := arrived.Add(c.sentAfter)
+			request := &call{
+				arrivedAt:     arrived,
+				admission:     admission{route: &topology.Route{Kind: topology.Stream, Objective: objective, InterTokenTarget: target}},
+				latestAttempt: latestAttempt{placement: &placement{Decision: dispatch.Decision{Level: c.level, PredictedFirstEvent: predicted}}},
+				relay:         relay{relayedEvents: c.relayedEvents, firstByteAt: arrived.Add(c.firstAfter), lastEventAt: sent.Add(-c.sinceEvent), longestPause: c.longestPause},
+			}
+			So(request.enginePriority(sent), ShouldEqual, c.want)
+		})
+	}
+}
+
+// Guards against a caller that sets its own priority at the engine, and against services
+// without classes that are told one.
+func TestPriorityThatReachesTheEngine(t *testing.T) {
+	breakOff := func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 3, false) }
+	goOn := func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 4, 6, true) }
+	whole := func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 3, true) }
+	for _, forged := range [][]string{nil, {"0"}, {"9"}, {"-1", "0"}, {"99999999999999999999"}, {"urgent"}} {
+		for _, c := range []struct {
+			path string
+			want []string
+		}{{"/summaries/x", []string{"0"}}, {"/drafts/x", []string{"3"}}, {"/digests/x", []string{"6"}}} {
+			Convey("The engine gets the level's priority, whatever the caller sends", t, func() {
+				b := newBackend("b1", func(_ int, w http.ResponseWriter, r *http.Request) { whole(w, r) })
+				s := newSystemWithConfig(classConfiguration(), b)
+				defer s.close(b)
+				_, _, err := s.send("POST", c.path, "", func(r *http.Request) { r.Header[header.Priority] = forged })
+				So(err, ShouldBeNil)
+				seen, _ := b.lastRequest()
+				So(seen.Header.Values(header.Priority), ShouldResemble, c.want)
+			})
+		}
+		Convey("A service whose routes don't differ gets none", t, func() {
+			b := newBackend("b1", func(_ int, w http.ResponseWriter, r *http.Request) { whole(w, r) })
+			s := newSystem(b)
+			defer s.close(b)
+			_, _, err := s.send("POST", "/stream/x", "", func(r *http.Request) { r.Header[header.Priority] = forged })
+			So(err, ShouldBeNil)
+			seen, _ := b.lastRequest()
+			So(seen.Header.Values(header.Priority), ShouldBeEmpty)
+		})
+	}
+	Convey("A stream that another server continues keeps its level's priority there", t, func() {
+		script := firstThenRest(breakOff, goOn)
+		b1, b2 := newBackend("b1", script), newBackend("b2", script)
+		s := newSystemWithConfig(classConfiguration(), b1, b2)
+		defer s.close(b1, b2)
+		_, body, err := s.send("POST", "/drafts/x", "", nil)
+		So(err, ShouldBeNil)
+		So(eventIDs(body), ShouldHaveLength, 6)
+		for _, b := range []*backend{b1, b2} {
+			seen, _ := b.lastRequest()
+			So(seen.Header.Get(header.Priority), ShouldBeIn, []string{"3", "6"})
+		}
+	})
+	Convey("A configuration by which the routes no longer differ ends that", t, func() {
+		b := newBackend("b1", func(_ int, w http.ResponseWriter, r *http.Request) { whole(w, r) })
+		s := newSystemWithConfig(classConfiguration(), b)
+		defer s.close(b)
+		equal := configuration()
+		equal.Version = 2
+		s.configure(equal)
+		_, _, err := s.send("POST", "/stream/x", "", nil)
+		So(err, ShouldBeNil)
+		seen, _ := b.lastRequest()
+		So(seen.Header.Values(header.Priority), ShouldBeEmpty)
+	})
+}
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -128,9 +128,10 @@
 
 // system is a gateway in front of backend servers.
 type system struct {
-	gateway *Gateway
-	front   *httptest.Server
-	stop    context.CancelFunc
+	gateway   *Gateway
+	front     *httptest.Server
+	stop      context.CancelFunc
+	configure func(*topology.Configuration) // Puts a later configuration in force.
 }
 
 // configuration returns a configuration with one route of each kind, all to the
@@ -181,7 +182,10 @@
 	g.Install(state.Snapshot(nil))
 	ctx, stop := context.WithCancel(context.Background())
 	go g.Run(ctx)
-	return &system{gateway: g, front: httptest.NewServer(g), stop: stop}
+	return &system{gateway: g, front: httptest.NewServer(g), stop: stop, configure: func(config *topology.Configuration) {
+		step(topology.ConfigurationRead{Config: config})
+		g.Install(state.Snapshot(nil))
+	}}
 }
 
 func (s *system) close(backends ...*backend) {
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -18,6 +18,17 @@
 	"persimmonwind.dev/server/upstream"
 )
 
+const (
+	// An engine's queue has priorities from 0 to 9, and gives 5 to requests without one. A
+	// level counts for enginePriorityStep, up to maxLevelPriority, and so does being late.
+	enginePriorityStep = 3
+	maxLevelPriority   = 6
+	// earliestFirstEventShare is the share of the predicted time after which a first event
+	// may come: 2.5 of the predicted 2.9 passes, as the dispatcher counts for requests that
+	// can still be on time.
+	earliestFirstEventShare = 0.86
+)
+
 // Cancellation causes of an exchange whose stream is migrated to another server.
 var (
 	errMigrated       = errors.New("stream was migrated off its server")
@@ -90,6 +101,9 @@
 func (c *call) forward(service string, server topology.Candidate) upstream.Request {
 	forward := platform.ForwardOptions{Server: server.ID, Remaining: time.Until(c.deadline), LastEventID: c.lastEventID}
 	forward.Organisation = c.organisationName()
+	if c.placement.byClass {
+		forward.EnginePriority, forward.HasEnginePriority = c.enginePriority(time.Now()), true
+	}
 	return upstream.Request{
 		Method: c.http.Method, Target: c.http.RequestURI, Host: c.http.Host,
 		Header: platform.ForwardHeader(c.http.Header, forward), Body: c.body,
@@ -103,6 +117,27 @@
 	}
 }
 
+// enginePriority returns the request's priority at the engine, 0 for the most urgent. A
+// request that can no longer be on time counts as one of the next level.
+func (c *call) enginePriority(now time.Time) int {
+	priority := min(c.placement.Level*enginePriorityStep, maxLevelPriority)
+	if c.isLate(now) {
+		priority += enginePriorityStep
+	}
+	return priority
+}
+
+// isLate reports whether the request can no longer be on time if it is sent now: its first
+// event, or the next one of a stream that is resumed, would come too late.
+func (c *call) isLate(now time.Time) bool {
+	objectiveEnd, target := c.arrivedAt.Add(c.route.Objective), c.route.InterTokenTarget
+	nextEvent := now.Add(time.Duration(float64(c.placement.PredictedFirstEvent) * earliestFirstEventShare))
+	if c.relayedEvents == 0 {
+		return nextEvent.After(objectiveEnd)
+	}
+	return c.firstByteAt.After(objectiveEnd) || target > 0 && max(c.longestPause, nextEvent.Sub(c.lastEventAt)) > target
+}
+
 // observeLeaving tells the dispatcher that the server stops soon if its response says
 // so. A misdirected response is another server's.
 func (c *call) observeLeaving(service string, server topology.Candidate, response *http.Response) {
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -111,6 +111,11 @@
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		logevent.Write(c.log, logevent.CallerDisconnected, logrus.Fields{"error": err.Error()})
 	}
+	now := time.Now()
+	if c.relayedEvents > 0 {
+		c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
 	c.relayedEvents++
 	if id != "" {
 		c.lastEventID = id
