Log and count requests that are scheduled by class

Cause: neither the log nor the metrics tell why one request was sent and another one, of another level or size, waited or was refused. Change: lines 320 and 321 of streams at enabled services get prompt_tokens, level, waited_ms and memory_tokens of the rank; other lines are unchanged, as lines are charged for processor time. Metrics: decisions by verdict, reason and level; refusals by reason and level; requests in flight and waiting by level; unread prompt tokens. Levels from the tenth on share a label.

Tested: go vet ./..., go test -race ./gateway ./doccheck in server, ok.

--- a/server/doccheck/doccheck_test.go
+++ b/server/doccheck/doccheck_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonwind.dev/policy/control"
+	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/server/gateway"
 	"persimmonwind.dev/server/logevent"
@@ -124,6 +125,8 @@
 	gatewayMetrics := gateway.NewMetrics(registry)
 	gatewayMetrics.ObserveRequest(result.OK, 0)
 	gatewayMetrics.ObserveBroken(upstream.OtherEnd, false)
+	gatewayMetrics.ObserveDecision(dispatch.Decision{})
+	gatewayMetrics.ObserveRefusal("", 0)
 	quarantine.NewMetrics(registry)
 	mapMetrics := mapcontrol.NewMetrics(registry)
 	mapMetrics.CountPhase("idle")
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -52,17 +52,18 @@
 
 // attempts is the state over all attempts of a request.
 type attempts struct {
-	sends               int    // Attempts that obtained a connection to a server, including those that the server refused.
-	possibleExecutions  int    // Attempts that the server may have executed.
-	foundGroupClosed    bool   // An attempt was refused because the group is closed.
-	refusedByDispatcher bool   // The dispatcher has refused the request; no attempt follows.
-	quarantined         bool   // The request must not be sent to a server; no attempt follows.
-	avoidServer         string // The server of the latest failed attempt.
+	sends               int           // Attempts that obtained a connection to a server, including those that the server refused.
+	possibleExecutions  int           // Attempts that the server may have executed.
+	foundGroupClosed    bool          // An attempt was refused because the group is closed.
+	refusedByDispatcher bool          // The dispatcher has refused the request; no attempt follows.
+	quarantined         bool          // The request must not be sent to a server; no attempt follows.
+	avoidServer         string        // The server of the latest failed attempt.
+	waited              time.Duration // Time in the dispatcher's queue.
 }
 
 // latestAttempt is the state of the latest attempt.
 type latestAttempt struct {
-	placement             *placement   // The dispatcher's decision by which the request was sent.
+	placement             *placement   // The dispatcher's last decision; nil before the first.
 	server                string       // The server; for the log.
 	sentAt                time.Time    // When the request was sent.
 	firstEventAt          time.Time    // When the first event arrived; zero for none.
@@ -127,6 +128,8 @@
 		return refused
 	}
 	placed, err := c.acquire(ctx, service, request)
+	c.placement = placed
+	c.waited += placed.waited
 	var refused *result.Error
 	if errors.As(err, &refused) {
 		c.quarantined = true
@@ -146,7 +149,7 @@
 		return refusal
 	}
 	server := placed.Server
-	c.server, c.placement = server.ID, placed
+	c.server = server.ID
 	if placed.PredictedFirstEvent > 0 && !c.responseStarted {
 		c.predictedFirstEventAt = time.Now().Add(placed.PredictedFirstEvent)
 	}
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -12,6 +12,7 @@
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/result"
+	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/upstream"
 )
@@ -143,6 +144,23 @@
 			c.gateway.metrics.predictionError.Observe(c.firstByteAt.Sub(c.predictedFirstEventAt).Abs().Seconds())
 		}
 	}
+	if c.placement != nil && c.placement.byClass {
+		if c.route.Kind == topology.Stream {
+			c.placement.logFields(fields, c.request.PromptTokens, c.waited)
+		}
+		if refused := failure != nil && failure.NotRun() && code != result.Cancelled; refused {
+			c.gateway.metrics.ObserveRefusal(c.refusalReason(code), c.placement.Level)
+		}
+	}
 	c.gateway.metrics.ObserveRequest(code, time.Since(c.arrivedAt))
 	logevent.Write(c.log, logevent.RequestEnded, fields)
 }
+
+// refusalReason returns the dispatcher's reason if it has refused the request, and
+// otherwise the name of the result code.
+func (c *call) refusalReason(code result.Code) string {
+	if c.refusedByDispatcher {
+		return c.placement.Reason
+	}
+	return result.Describe(code).Name
+}
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -22,8 +22,9 @@
 // blocks requests until it has decided about them. A ticket represents a request that
 // needs a slot at a server of the service.
 type dispatchers struct {
-	warmUp dispatch.WarmUpLimit
-	log    *logrus.Entry
+	warmUp  dispatch.WarmUpLimit
+	log     *logrus.Entry
+	metrics *Metrics
 
 	mu           sync.Mutex
 	snapshot     *topology.Snapshot
@@ -35,26 +36,15 @@
 // dispatcher is the dispatcher of one service with the requests that wait for it.
 type dispatcher struct {
 	*dispatch.Dispatcher
+	metrics           *Metrics
 	byClass           bool                                         // Requests of the service are scheduled by class.
+	memoryTokens      map[string]int                               // By server, the last reported tokens in its memory.
 	waitingTickets    map[uint64]*waitingTicket                    // By ticket ID.
 	migratableStreams map[string]map[*call]context.CancelCauseFunc // By server; each function cancels the exchange of one stream, so that another server continues it.
 }
 
-// waitingTicket is a queued ticket.
-type waitingTicket struct {
-	since   time.Time
-	decided chan *placement // Receives the decision.
-}
-
-// placement is the dispatcher's decision about a ticket.
-type placement struct {
-	dispatch.Decision
-	byClass bool          // The request is scheduled by class.
-	waited  time.Duration // Time in the queue.
-}
-
-func newDispatchers(warmUp dispatch.WarmUpLimit, log *logrus.Entry) *dispatchers {
-	return &dispatchers{warmUp: warmUp, log: log, byService: map[string]*dispatcher{}}
+func newDispatchers(warmUp dispatch.WarmUpLimit, log *logrus.Entry, metrics *Metrics) *dispatchers {
+	return &dispatchers{warmUp: warmUp, log: log, metrics: metrics, byService: map[string]*dispatcher{}}
 }
 
 // configure passes a new snapshot to all dispatchers.
@@ -68,14 +58,16 @@
 	targets, tables := interTokenTargets(snapshot.Config), classTables(snapshot.Config)
 	for name := range snapshot.Config.Services {
 		if d.byService[name] == nil {
-			d.byService[name] = &dispatcher{Dispatcher: dispatch.NewDispatcher(d.warmUp), waitingTickets: map[uint64]*waitingTicket{}, migratableStreams: map[string]map[*call]context.CancelCauseFunc{}}
+			d.byService[name] = &dispatcher{Dispatcher: dispatch.NewDispatcher(d.warmUp), metrics: d.metrics, memoryTokens: map[string]int{}, waitingTickets: map[uint64]*waitingTicket{}, migratableStreams: map[string]map[*call]context.CancelCauseFunc{}}
 		}
 	}
 	for name, dispatcher := range d.byService {
 		dispatcher.SetEntries(d.entries)
 		dispatcher.SetClasses(tables[name])
 		dispatcher.byClass = tables[name].Enabled()
-		dispatcher.Configure(snapshot.Candidates(name), snapshot.Service(name), targets[name], time.Now())
+		candidates := snapshot.Candidates(name)
+		dispatcher.keepMemoryOf(candidates)
+		dispatcher.Configure(candidates, snapshot.Service(name), targets[name], time.Now())
 		dispatcher.resolveWaiting()
 	}
 }
@@ -125,7 +117,7 @@
 
 // acquire returns the dispatcher's decision about the ticket, which is never Wait. If
 // the ticket is queued, acquire calls onWait and blocks until the ticket is decided;
-// it cancels the ticket if ctx ends before.
+// it cancels the ticket if ctx ends before, and returns the last decision with the error.
 func (d *dispatchers) acquire(ctx context.Context, service string, ticket dispatch.Ticket, onWait func(*placement)) (*placement, error) {
 	d.mu.Lock()
 	dispatcher := d.byService[service]
@@ -136,12 +128,13 @@
 	d.nextTicketID++
 	ticket.ID = d.nextTicketID
 	now := time.Now()
-	placed := dispatcher.place(dispatcher.Submit(ticket, rand.Float64(), now), now, now)
+	waiting := &waitingTicket{ticket: ticket, since: now, decided: make(chan *placement, 1)}
+	placed := dispatcher.place(waiting, dispatcher.Submit(ticket, rand.Float64(), now), now)
 	if placed.Verdict != dispatch.Wait {
 		d.mu.Unlock()
 		return placed, nil
 	}
-	waiting := &waitingTicket{since: now, decided: make(chan *placement, 1)}
+	waiting.placement = placed
 	dispatcher.waitingTickets[ticket.ID] = waiting
 	d.mu.Unlock()
 	onWait(placed)
@@ -159,9 +152,10 @@
 		}
 	default:
 		dispatcher.Cancel(ticket.ID)
-		delete(dispatcher.waitingTickets, ticket.ID)
+		dispatcher.endWaiting(waiting)
+		placed.waited = time.Since(waiting.since)
 	}
-	return nil, ctx.Err()
+	return placed, ctx.Err()
 }
 
 // release frees the slot of a request that was sent. It reports whether the server's
@@ -171,19 +165,6 @@
 	return closed
 }
 
-// place returns the placement of a ticket that has waited since the given time.
-func (d *dispatcher) place(decision dispatch.Decision, since, now time.Time) *placement {
-	return &placement{Decision: decision, byClass: d.byClass, waited: now.Sub(since)}
-}
-
-// end frees the slot of a request that was sent. It reports whether the server's group is
-// closed.
-func (d *dispatcher) end(placed *placement, outcome dispatch.Outcome) (closed bool) {
-	closed = d.DoneTicket(placed.Server.ID, placed.Ticket, outcome, time.Now())
-	d.resolveWaiting()
-	return closed
-}
-
 // observeAccepted records that a server has accepted a request and begun to answer it.
 func (d *dispatchers) observeAccepted(service, server string) {
 	d.withService(service, func(dispatcher *dispatcher) { dispatcher.Accepted(server) })
@@ -193,6 +174,7 @@
 func (d *dispatchers) observeFirstEvent(service string, placed *placement) {
 	d.withService(service, func(dispatcher *dispatcher) {
 		dispatcher.FirstEvent(placed.Server.ID, placed.Ticket, time.Now())
+		dispatcher.promptRead(placed)
 	})
 }
 
@@ -206,6 +188,9 @@
 func (d *dispatchers) report(service, server string, report dispatch.Report) {
 	d.withService(service, func(dispatcher *dispatcher) {
 		dispatcher.Report(server, report, time.Now())
+		if report.MemoryTokens > 0 { // Most reports don't tell.
+			dispatcher.memoryTokens[server] = report.MemoryTokens
+		}
 		if len(dispatcher.migratableStreams[server]) > 0 && dispatcher.ShouldMigrateStreams(server, time.Now()) {
 			dispatcher.migrateStreams(server, errMigratedSlow)
 		}
@@ -320,8 +305,8 @@
 	now := time.Now()
 	for _, decision := range d.DispatchQueued(rand.Float64, now) {
 		if waiting, ok := d.waitingTickets[decision.Ticket]; ok {
-			waiting.decided <- d.place(decision, waiting.since, now)
-			delete(d.waitingTickets, decision.Ticket)
+			d.endWaiting(waiting)
+			waiting.decided <- d.place(waiting, decision, now)
 		}
 	}
 }
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -84,7 +84,7 @@
 		guard: guard,
 		dispatchers: newDispatchers(dispatch.WarmUpLimit{
 			OverloadFactor: settings.WarmUpOvershoot, ExtraPerSecond: settings.WarmUpAllowance, Entries: assumedEntryCount,
-		}, log),
+		}, log, metrics),
 		pool:         upstream.NewPool(upstream.Dial),
 		log:          log,
 		metrics:      metrics,
--- a/server/gateway/wait.go
+++ b/server/gateway/wait.go
@@ -30,7 +30,7 @@
 	maxStatedTokens = 1 << 20
 )
 
-// acquire returns the dispatcher's decision about the request. It returns a
+// acquire returns the dispatcher's last decision about the request. It returns a
 // *result.Error if the request must not be sent to a server any more.
 func (c *call) acquire(ctx context.Context, service string, request quarantine.Request) (*placement, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -42,12 +42,12 @@
 	})
 	remove()
 	if err != nil {
-		return nil, context.Cause(ctx)
+		return placed, context.Cause(ctx)
 	}
 	if placed.Verdict == dispatch.Go {
 		if refused := c.gateway.guard.Check(request); refused != nil {
 			c.gateway.dispatchers.release(service, placed, dispatch.CallerLeft)
-			return nil, refused
+			return placed, refused
 		}
 	}
 	return placed, nil
@@ -99,12 +99,15 @@
 	if decision.Verdict == dispatch.Go && c.sends == 0 && decision.Limit == 0 && c.route.Kind != topology.Stream {
 		return // A plain request sent at once; only its end is logged.
 	}
-	verdicts := [...]string{"wait", "go", "refuse"}
-	logevent.Write(c.log, logevent.RequestPlaced, logrus.Fields{
-		"verdict": verdicts[decision.Verdict], "reason": decision.Reason, "server": decision.Server.ID,
+	fields := logrus.Fields{
+		"verdict": verdictNames[decision.Verdict], "reason": decision.Reason, "server": decision.Server.ID,
 		"own": decision.OwnInFlight, "total": decision.TotalInFlight, "limit": decision.Limit,
 		"predicted_ms": decision.PredictedWait.Milliseconds(), "retry_after_ms": decision.RetryAfter.Milliseconds(),
 		"report_age_ms": decision.ReportAge.Milliseconds(), "config": c.snapshot.Config.Version,
 		"after_ms": time.Since(c.arrivedAt).Milliseconds(),
-	})
+	}
+	if decision.byClass && c.route.Kind == topology.Stream {
+		decision.logFields(fields, c.request.PromptTokens, decision.waited)
+	}
+	logevent.Write(c.log, logevent.RequestPlaced, fields)
 }
