--- a/server/loadreport/loadreport.go
+++ b/server/loadreport/loadreport.go
@@ -41,8 +41,6 @@
 
 	Group   string // Name of the server's group.
 	Entries int    // Number of entries that subscribe to the agent's reports.
-
-	MemoryTokens int // Tokens in the server's memory that can't be evicted; 0 if unknown.
 }
 
 // Publisher sends an agent's reports to its subscribers.
