--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -52,16 +52,18 @@
 
 // attempts is the state over all attempts of a request.
 type attempts struct {
-	sends               int    // Attempts that obtained a connection to a server, including those that the server refused.
-	possibleExecutions  int    // Attempts that the server may have executed.
-	foundGroupClosed    bool   // An attempt was refused because the group is closed.
-	refusedByDispatcher bool   // The dispatcher has refused the request; no attempt follows.
-	quarantined         bool   // The request must not be sent to a server; no attempt follows.
-	avoidServer         string // The server of the latest failed attempt.
+	sends               int           // Attempts that obtained a connection to a server, including those that the server refused.
+	possibleExecutions  int           // Attempts that the server may have executed.
+	foundGroupClosed    bool          // An attempt was refused because the group is closed.
+	refusedByDispatcher bool          // The dispatcher has refused the request; no attempt follows.
+	quarantined         bool          // The request must not be sent to a server; no attempt follows.
+	avoidServer         string        // The server of the latest failed attempt.
+	waited              time.Duration // Time in the dispatcher's queue.
 }
 
 // latestAttempt is the state of the latest attempt.
 type latestAttempt struct {
+	placement             *placement   // The dispatcher's last decision; nil before the first.
 	server                string       // The server; for the log.
 	sentAt                time.Time    // When the request was sent.
 	firstEventAt          time.Time    // When the first event arrived; zero for none.
@@ -78,6 +80,8 @@
 	relayedEvents   int
 	firstByteAt     time.Time
 	longestEventGap time.Duration // Longest time between two events from one server.
+	lastEventAt     time.Time     // When the caller got the latest event.
+	longestPause    time.Duration // Longest time between two events that the caller got.
 	buffers         []*buffer     // Answers that are held until the call ends.
 	fallbackAnswer  *answer       // A server's error response, sent to the caller unless a retry succeeds.
 }
@@ -123,7 +127,9 @@
 		c.quarantined = true
 		return refused
 	}
-	decision, err := c.acquire(ctx, service, request)
+	placed, err := c.acquire(ctx, service, request)
+	c.placement = placed
+	c.waited += placed.waited
 	var refused *result.Error
 	if errors.As(err, &refused) {
 		c.quarantined = true
@@ -135,30 +141,31 @@
 		}
 		return result.Errorf(result.DeadlineExceeded, "no server slot became free before the deadline")
 	}
-	c.logDecision(decision)
-	if decision.Verdict == dispatch.Refuse {
+	c.logDecision(placed)
+	if placed.Verdict == dispatch.Refuse {
 		c.refusedByDispatcher = true
-		refusal := result.Errorf(result.Overloaded, "%s", decision.Reason)
-		refusal.RetryAfter = decision.RetryAfter
+		refusal := result.Errorf(result.Overloaded, "%s", placed.Reason)
+		refusal.RetryAfter = placed.RetryAfter
 		return refusal
 	}
-	c.server = decision.Server.ID
-	if decision.PredictedFirstEvent > 0 && !c.responseStarted {
-		c.predictedFirstEventAt = time.Now().Add(decision.PredictedFirstEvent)
+	server := placed.Server
+	c.server = server.ID
+	if placed.PredictedFirstEvent > 0 && !c.responseStarted {
+		c.predictedFirstEventAt = time.Now().Add(placed.PredictedFirstEvent)
 	}
 	c.end, c.eventsBefore, c.firstEventAt = "", c.relayedEvents, time.Time{}
 	sendsBefore := c.sends
-	outcome, failure := c.sendMigratable(ctx, service, decision.Server)
-	closed := c.gateway.dispatchers.release(service, decision.Server.ID, outcome)
+	outcome, failure := c.sendMigratable(ctx, service, server)
+	closed := c.gateway.dispatchers.release(service, placed, outcome)
 	if failure == nil {
 		return nil
 	}
 	c.groupClosed = closed
 	if outcome == dispatch.CallerLeft && c.sends > sendsBefore && !c.answering() {
-		c.gateway.guard.Abandoned(request, decision.Server.ID, decision.Server.Address, c.sentAt)
+		c.gateway.guard.Abandoned(request, server.ID, server.Address, c.sentAt)
 	}
-	c.observeBroken(service, decision.Server, request)
-	c.avoidServer = decision.Server.ID
+	c.observeBroken(service, server, request)
+	c.avoidServer = server.ID
 	if closed && outcome == dispatch.Busy {
 		c.foundGroupClosed = true
 		failure = result.Errorf(result.GroupWaiting, "%s", failure.Detail)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -84,7 +84,7 @@
 		guard: guard,
 		dispatchers: newDispatchers(dispatch.WarmUpLimit{
 			OverloadFactor: settings.WarmUpOvershoot, ExtraPerSecond: settings.WarmUpAllowance, Entries: assumedEntryCount,
-		}, log),
+		}, log, metrics),
 		pool:         upstream.NewPool(upstream.Dial),
 		log:          log,
 		metrics:      metrics,
@@ -147,6 +147,7 @@
 			if candidate.Address == report.Server {
 				g.dispatchers.report(name, candidate.ID, dispatch.Report{
 					Queued: report.Queued, Active: report.Active, Open: report.Open, Pace: report.Pace, Group: report.Group,
+					MemoryTokens: report.MemoryTokens,
 				})
 			}
 		}
