--- a/policy/topology/configuration.go
+++ b/policy/topology/configuration.go
@@ -74,6 +74,15 @@
 	Places        int     // Number of experts that a rank can hold in each expert set.
 	NewPerSet     int     // Maximum number of experts that one change may add to a rank in each expert set.
 	ExpertMB      float64 // Size of one expert in megabytes.
+
+	// Cost of prompts and of memory. A value of 0 is unknown.
+	ReadTokensPerSecond  float64 // Prompt tokens that one rank reads in a second.
+	PairsMSPerMillion    float64 // Time to read that each million pairs of prompt tokens adds.
+	Chunk                int     // Prompt tokens that one rank reads at most in a token step.
+	ContextMSPerThousand float64 // Time that each thousand tokens in memory adds to a step.
+	MemoryTokens         int     // Tokens that the memory of one rank holds.
+	UsualPrompt          int     // Usual number of tokens of a prompt.
+	UsualAnswer          int     // Usual number of tokens of an answer.
 }
 
 // CopyTime returns how long it takes a rank to copy one expert.
--- a/policy/topology/rank.go
+++ b/policy/topology/rank.go
@@ -21,6 +21,8 @@
 	Queued int     // Number of requests that wait at the rank.
 	Active int     // Number of requests that the rank runs.
 	Pace   float64 // Slowdown of the rank relative to normal speed; 1 for a rank of normal speed.
+
+	MemoryTokens int // Tokens in the rank's memory that can't be evicted; 0 if unknown.
 }
 
 // RankLists lists the experts that a rank holds in each expert set. An expert set is a
--- a/server/loadreport/loadreport.go
+++ b/server/loadreport/loadreport.go
@@ -21,6 +21,10 @@
 	// reportInterval is how often an agent sends a report: about once per pass, the
 	// joint computation of all ranks of a model group.
 	reportInterval = 100 * time.Millisecond
+	// memoryReportEvery is how many reports an agent sends for one that tells the memory
+	// in use. Memory changes over the seconds of an answer, and every byte of a report is
+	// sent to every entry.
+	memoryReportEvery = 10
 	// subscribeInterval is how often an entry renews its subscriptions.
 	subscribeInterval = time.Second
 	// agentScanInterval is how often an entry checks for new agents.
@@ -41,6 +45,11 @@
 
 	Group   string // Name of the server's group.
 	Entries int    // Number of entries that subscribe to the agent's reports.
+
+	// MemoryTokens is the number of tokens in the server's memory that can't be evicted;
+	// 0 if the report doesn't tell. The key is short as every byte of a report is sent to
+	// every entry.
+	MemoryTokens int `json:"M,omitempty"`
 }
 
 // Publisher sends an agent's reports to its subscribers.
@@ -79,6 +88,7 @@
 func (p *Publisher) Run(ctx context.Context, server string, read func() (topology.RankState, bool)) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	number := 0
 	for {
 		select {
 		case <-ticker.C:
@@ -93,8 +103,18 @@
 		if !ok {
 			continue
 		}
-		p.send(Report{Server: server, Open: state.Open, Queued: state.Queued, Active: state.Active, Pace: state.Pace, Group: state.Group, Entries: len(subscribers)}, subscribers)
+		p.send(newReport(server, state, len(subscribers), number), subscribers)
+		number++
+	}
+}
+
+// newReport returns the report with the number, counted from 0 for the first.
+func newReport(server string, state topology.RankState, subscribers, number int) Report {
+	report := Report{Server: server, Open: state.Open, Queued: state.Queued, Active: state.Active, Pace: state.Pace, Group: state.Group, Entries: subscribers}
+	if number%memoryReportEvery == 0 {
+		report.MemoryTokens = max(0, state.MemoryTokens)
 	}
+	return report
 }
 
 func (p *Publisher) send(report Report, subscribers []netip.AddrPort) {
@@ -143,13 +163,19 @@
 		if err != nil {
 			continue // An ICMP error for an earlier datagram; the socket stays usable.
 		}
-		var report Report
-		if json.Unmarshal(buffer[:n], &report) == nil && report.Server != "" {
+		if report, ok := decode(buffer[:n]); ok {
 			handle(report)
 		}
 	}
 }
 
+// decode decodes a datagram. Fields that a newer process has added are ignored.
+func decode(datagram []byte) (Report, bool) {
+	var report Report
+	err := json.Unmarshal(datagram, &report)
+	return report, err == nil && report.Server != ""
+}
+
 // Run subscribes at the agents' addresses and renews the subscriptions until ctx
 // ends. It subscribes at a new address within agentScanInterval.
 func (s *Subscriber) Run(ctx context.Context, agents func() []string) {
