Divide the room of a group that opens among the entries

Cause: when a group opened in a new epoch, 14 entries sent 350 waiting requests within 0.3 s. Each assumed a skew of 1.5 (3.4 with the initial map) and a total that was a load report old, so passes exceeded the pause and made all streams late.

Ruled out: only raising the assumed skew to 3.2; the entries still fill the same room several times.

--- /dev/null
+++ b/policy/dispatch/classes.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import "time"
+
+const (
+	// classPauseGoalShare replaces pauseGoalShare for services with classes: single
+	// passes vary above the mean, and one that is longer than the pause makes all streams
+	// late.
+	classPauseGoalShare = 0.74
+	// largeGroupClassPauseGoalShare replaces classPauseGoalShare in large groups.
+	largeGroupClassPauseGoalShare = 0.70
+)
+
+// Reasons of decisions about tickets of services with classes.
+const reasonLateShare = "late_share" // Late requests use all that those on time leave to them.
+
+// waitReason returns why the last ticket could not be sent.
+func (d *Dispatcher) waitReason() string {
+	if d.blockedBy != "" {
+		return d.blockedBy
+	}
+	return "no_room"
+}
+
+// goalShare returns the share of the longest allowed pause that one pass may take.
+func (l *ConcurrencyLimiter) goalShare(servers int) float64 {
+	switch large := servers >= largeGroupServers; {
+	case l.classed && large:
+		return largeGroupClassPauseGoalShare
+	case l.classed:
+		return classPauseGoalShare
+	case large:
+		return largeGroupPauseGoalShare
+	default:
+		return pauseGoalShare
+	}
+}
+
+// mayDispatchClass reports whether the limit of a group allows a ticket of a service with
+// classes to be sent there.
+func (d *Dispatcher) mayDispatchClass(ticket Ticket, g *group, limit, total int, now time.Time) bool {
+	if !d.meetsSLO(ticket, now) && float64(g.classLoad.late) >= max(1, d.lateShare(now)*float64(limit)/float64(d.runningEntries())) {
+		d.blockedBy = reasonLateShare
+		return false
+	}
+	return d.hasShareOfRoom(g, float64(limit), float64(total), now)
+}
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -91,12 +91,16 @@
 	notices map[string]*notice // What servers have said of themselves, by ID.
 	queue   []Ticket
 	freedAt []time.Time // When slots became free, for the times within rateWindow.
-	classes classes.Table
+
+	classes        classes.Table
+	sent           map[uint64]sentRequest // Requests in flight of a service with classes, by ticket.
+	onTimeArrivals []time.Time            // When tickets arrived that could meet their objective, for the times within rateWindow.
+	blockedBy      string                 // Why the last ticket could not be sent; empty if no server had room.
 }
 
 // NewDispatcher returns a dispatcher for one service.
 func NewDispatcher(warmUp WarmUpLimit) *Dispatcher {
-	return &Dispatcher{warmUp: warmUp, turns: turnSeed(rand.Uint64()), byID: map[string]*server{}, groups: map[string]*group{}, notices: map[string]*notice{}}
+	return &Dispatcher{warmUp: warmUp, turns: turnSeed(rand.Uint64()), byID: map[string]*server{}, groups: map[string]*group{}, notices: map[string]*notice{}, sent: map[uint64]sentRequest{}}
 }
 
 // Configure sets the servers that may get new work, the service's engine model,
@@ -156,6 +160,9 @@
 // Submit decides about a new ticket and queues it if the verdict is Wait. random
 // is a random number in [0, 1) for the choice of the server.
 func (d *Dispatcher) Submit(ticket Ticket, random float64, now time.Time) Decision {
+	if d.classes.Enabled() {
+		d.recordArrival(ticket, now)
+	}
 	if len(d.queue) == 0 || d.meetsSLO(ticket, now) && !d.anyMeetsSLO(now) {
 		if decision, ok := d.tryDispatch(ticket, random, now); ok {
 			return decision
@@ -192,7 +199,7 @@
 		return decision
 	}
 	d.queue = append(d.queue, ticket)
-	decision.Verdict, decision.Reason = Wait, "no_room"
+	decision.Verdict, decision.Reason = Wait, d.waitReason()
 	return decision
 }
 
@@ -248,6 +255,7 @@
 // false if the ticket can't be sent now.
 func (d *Dispatcher) tryDispatch(ticket Ticket, random float64, now time.Time) (Decision, bool) {
 	groups, random := d.groupsInOrder(random, now)
+	d.blockedBy = ""
 	for _, g := range groups {
 		if !d.mayDispatch(ticket, g, now) {
 			continue
@@ -260,6 +268,9 @@
 		decision.Verdict, decision.Server, decision.Reason = Go, best.candidate, "least_loaded"
 		decision.PredictedFirstEvent = g.pace.predictFirstEvent()
 		best.requestSent(now)
+		if d.classes.Enabled() {
+			d.recordSent(ticket, g, now)
+		}
 		g.gate.recordSent()
 		return decision, true
 	}
@@ -277,6 +288,9 @@
 		return true
 	}
 	total := g.inFlight(now)
+	if d.classes.Enabled() {
+		return d.mayDispatchClass(ticket, g, limit, total, now)
+	}
 	if !d.meetsSLO(ticket, now) && float64(total) >= lateCapacityShare*float64(limit) {
 		return false
 	}
--- a/policy/dispatch/gate.go
+++ b/policy/dispatch/gate.go
@@ -30,6 +30,7 @@
 	closed    bool
 	nextProbe time.Time
 	probing   bool // A probe request is in flight.
+	opened    bool // The gate has opened since group.trackOpening looked.
 }
 
 // refused closes the gate: a server with room has refused a request, so its group
@@ -64,4 +65,7 @@
 func (g *gate) recordSent() { g.probing = g.closed }
 
 // accepted opens the gate: the group takes work.
-func (g *gate) accepted() { g.closed, g.probing = false, false }
+func (g *gate) accepted() {
+	g.opened = g.opened || g.closed
+	g.closed, g.probing = false, false
+}
--- a/policy/dispatch/group.go
+++ b/policy/dispatch/group.go
@@ -19,6 +19,9 @@
 	gate    gate
 	servers []*server
 
+	opening   opening
+	classLoad classLoad
+
 	activeSince time.Time // Since when the group's servers have sent events without a long break; zero while none sends any.
 }
 
@@ -33,6 +36,7 @@
 		joined = &group{name: name}
 		if s.group != nil {
 			joined.pace, joined.gate, joined.activeSince = s.group.pace, s.group.gate, s.group.activeSince
+			joined.opening.openedAt = s.group.opening.openedAt
 		}
 		d.groups[name] = joined
 	}
@@ -54,7 +58,7 @@
 	}
 	for _, g := range d.groups {
 		g.servers = nil
-		g.pace.configure(engine, pauseGoal)
+		g.pace.configure(engine, pauseGoal, d.classes.Enabled())
 	}
 	for _, s := range d.byID {
 		if s.group == nil {
--- a/policy/dispatch/limiter.go
+++ b/policy/dispatch/limiter.go
@@ -50,10 +50,17 @@
 	slope        float64          // Seconds that one request in flight in the group adds to a pass.
 	observedAt   time.Time
 	smoothedPass time.Duration // Smoothed duration of a pass.
+	classed      bool          // The service's routes differ, so that it is scheduled by class.
+	notBefore    time.Time     // Passes that began before are not observed; see discardObservations.
 }
 
-func (l *ConcurrencyLimiter) configure(engine *topology.Engine, pauseGoal time.Duration) {
-	l.engine, l.pauseGoal = engine, pauseGoal
+func (l *ConcurrencyLimiter) configure(engine *topology.Engine, pauseGoal time.Duration, classed bool) {
+	l.engine, l.pauseGoal, l.classed = engine, pauseGoal, classed
+}
+
+// discardObservations forgets all passes that began before now.
+func (l *ConcurrencyLimiter) discardObservations(now time.Time) {
+	l.slope, l.smoothedPass, l.observedAt, l.notBefore = 0, 0, time.Time{}, now
 }
 
 // baseSeconds returns the duration in seconds of a pass without work at the slowest
@@ -70,7 +77,7 @@
 // observe updates the smoothed slope and pass duration from the gap between two
 // events of a stream, which is the duration of one pass.
 func (l *ConcurrencyLimiter) observe(gap time.Duration, inFlight int, now time.Time) {
-	if l.engine == nil || inFlight <= 0 || gap <= 0 {
+	if l.engine == nil || inFlight <= 0 || gap <= 0 || now.Add(-gap).Before(l.notBefore) {
 		return
 	}
 	slope := max(0, gap.Seconds()-l.baseSeconds()) / float64(inFlight)
@@ -96,13 +103,12 @@
 	slope := l.slope
 	if l.observedAt.IsZero() {
 		slope = initialSkew * even
+		if l.classed {
+			slope = initialMapSkew * even
+		}
 	}
 	slope = max(slope, even)
-	share := pauseGoalShare
-	if servers >= largeGroupServers {
-		share = largeGroupPauseGoalShare
-	}
-	availableSeconds := share*l.pauseGoal.Seconds() - l.baseSeconds()
+	availableSeconds := l.goalShare(servers)*l.pauseGoal.Seconds() - l.baseSeconds()
 	limit := availableSeconds / slope
 	limit = max(limit, minRequestsPerServer*float64(servers))
 	return int(min(limit, engineFillShare*float64(servers*l.engine.Slots)))
--- /dev/null
+++ b/policy/dispatch/opening.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// initialMapSkew is the expert load skew assumed for a service with classes until
+	// passes were observed after the opening of a group: with the initial expert map,
+	// a skew of 3.4 was measured.
+	initialMapSkew = 3.2
+	// reportLag is the age up to which changes of other entries' requests are unknown:
+	// load reports arrive about every 100 ms, and are up to a pass old by then.
+	reportLag = 150 * time.Millisecond
+	// ownSampleInterval is the interval at which an entry's requests in flight at a group
+	// are recorded.
+	ownSampleInterval = 10 * time.Millisecond
+	// lagRoomShare is the share of a group's room that all entries together may fill
+	// within reportLag. It leaves time for reading: prompts of requests that are sent
+	// together are read in the same passes and prolong them.
+	lagRoomShare = 0.35
+)
+
+// opening tracks when a group has opened, and how much work this entry has added to it
+// lately.
+type opening struct {
+	openedAt time.Time
+	samples  []ownSample // Of the last reportLag, and the last one before.
+}
+
+// ownSample is the number of this entry's requests in flight at a group at a time.
+type ownSample struct {
+	at  time.Time
+	own int
+}
+
+// trackOpening discards what is known of the passes of a group that has just opened, as it
+// has a new expert map and no requests. A group whose streams go on has not been closed:
+// one of its servers refused a request.
+func (g *group) trackOpening(now time.Time) {
+	opened := g.gate.opened || g.opening.openedAt.IsZero()
+	g.gate.opened = false
+	if !opened || g.gate.closed {
+		return
+	}
+	if g.opening.openedAt.IsZero() || !g.activeWithin(groupActiveWindow, now) {
+		g.opening.openedAt = now
+		g.pace.discardObservations(now)
+	}
+}
+
+// ownRequests returns the number of this entry's requests in flight at the group.
+func (g *group) ownRequests() (own int) {
+	for _, server := range g.servers {
+		own += server.ownRequests
+	}
+	return own
+}
+
+// ownGrowth returns by how many requests this entry's requests in flight at the group have
+// grown within reportLag.
+func (g *group) ownGrowth(own int, now time.Time) int {
+	samples := g.opening.samples
+	for len(samples) > 1 && now.Sub(samples[1].at) >= reportLag {
+		samples = samples[1:]
+	}
+	if len(samples) == 0 || now.Sub(samples[len(samples)-1].at) >= ownSampleInterval {
+		samples = append(samples, ownSample{now, own})
+	}
+	g.opening.samples = samples
+	return own - samples[0].own
+}
+
+// hasShareOfRoom reports whether this entry may send one more request to the group of which
+// limit requests may be in flight and total are known of. The other entries see the same
+// room until reports show the requests, so that each entry takes only its part of it.
+func (d *Dispatcher) hasShareOfRoom(g *group, limit, total float64, now time.Time) bool {
+	own, entries := g.ownRequests(), float64(d.runningEntries())
+	growth := g.ownGrowth(own, now)
+	if float64(growth) >= max(1, lagRoomShare*(limit-total)/entries) {
+		return false
+	}
+	if g.pace.observedAt.IsZero() {
+		// The limit may be far too low for a group that other entries use already, so the
+		// total does not count.
+		return float64(own) < max(1, math.Floor(limit/entries))
+	}
+	return total < limit
+}
--- /dev/null
+++ b/policy/dispatch/sent.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import "time"
+
+// sentRequest is a request of a service with classes that this entry has in flight.
+type sentRequest struct {
+	group *group
+	level int
+	late  bool // It could no longer meet its latency objective when it was sent.
+}
+
+// classLoad is the number of requests of this entry in flight at a group, by class.
+type classLoad struct {
+	byLevel map[int]int
+	late    int
+}
+
+// recordSent records that a ticket is sent to a server of the group.
+func (d *Dispatcher) recordSent(ticket Ticket, g *group, now time.Time) {
+	sent := sentRequest{group: g, level: d.classes.Level(ticket.Priority), late: !d.meetsSLO(ticket, now)}
+	d.sent[ticket.ID] = sent
+	g.classLoad.add(sent, 1)
+}
+
+// DoneTicket is Done for a ticket that was sent to the server.
+func (d *Dispatcher) DoneTicket(id string, ticket uint64, outcome Outcome, now time.Time) (closed bool) {
+	d.recordEnded(ticket)
+	return d.Done(id, outcome, now)
+}
+
+// recordEnded records that the request of a ticket is no longer in flight.
+func (d *Dispatcher) recordEnded(ticket uint64) {
+	if sent, ok := d.sent[ticket]; ok {
+		sent.group.classLoad.add(sent, -1)
+		delete(d.sent, ticket)
+	}
+}
+
+func (l *classLoad) add(sent sentRequest, change int) {
+	if l.byLevel == nil {
+		l.byLevel = map[int]int{}
+	}
+	l.byLevel[sent.level] += change
+	if sent.late {
+		l.late += change
+	}
+}
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -79,6 +79,10 @@
 		d.joinGroup(server, report.Group)
 	}
 	server.group.pace.maxSlowdown = server.group.maxSlowdown(now)
+	if d.classes.Enabled() {
+		server.group.gate.allows(server.group.reportedState(now), now) // Notices that the group closes or opens.
+		server.group.trackOpening(now)
+	}
 }
 
 // ExpectedToRun reports whether the server is listed, has not said that it leaves, and
