--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -102,11 +102,6 @@
 	return server.group.gate.closed
 }
 
-// DoneTicket is Done for the request with this ticket.
-func (d *Dispatcher) DoneTicket(id string, ticket uint64, outcome Outcome, now time.Time) (closed bool) {
-	return d.Done(id, outcome, now)
-}
-
 // refusedWithRoom records that an engine with room has refused a request, so that its
 // group takes no work. Engines whose group is unknown may be of several groups: while
 // some of them serve requests, only this one's group is known to be closed.
