Order and limit requests by class at the dispatcher

Cause: requests of all levels shared one limit and one order by priority and arrival. An urgent burst found the group full, a level below an overload got next to nothing, and an organisation that sent twice the capacity took the capacity of all others of its priority.

Ruled out: ordering by organisation alone. Counting all queued requests of the level for the predicted wait refused a fifth of them.

Change, for services with classes: limits graduated from 1 to 0.8 by level with demand in the last 2 s; a level under a tenth of the entry's requests in flight uses the whole limit and goes first; the queue is ordered by on time, level, overtaken for 0.6 s, organisation, slack, arrival; a ticket that its class limit, its organisation's limit or the share of late requests holds back does not block others.

--- a/policy/dispatch/classes.go
+++ b/policy/dispatch/classes.go
@@ -12,7 +12,12 @@
 )
 
 // Reasons of decisions about tickets of services with classes.
-const reasonLateShare = "late_share" // Late requests use all that those on time leave to them.
+const (
+	reasonLateShare  = "late_share"  // Late requests use all that those on time leave to them.
+	reasonClassLimit = "class_limit" // The remaining room is reserved for more urgent levels.
+	// The remaining room is reserved for organisations that send less.
+	reasonOrganisationLimit = "organisation_limit"
+)
 
 // waitReason returns why the last ticket could not be sent.
 func (d *Dispatcher) waitReason() string {
@@ -39,9 +44,28 @@
 // mayDispatchClass reports whether the limit of a group allows a ticket of a service with
 // classes to be sent there.
 func (d *Dispatcher) mayDispatchClass(ticket Ticket, g *group, limit, total int, now time.Time) bool {
+	g.trackOpening(now)
 	if !d.meetsSLO(ticket, now) && float64(g.classLoad.late) >= max(1, d.lateShare(now)*float64(limit)/float64(d.runningEntries())) {
 		d.blockedBy = reasonLateShare
 		return false
 	}
-	return d.hasShareOfRoom(g, float64(limit), float64(total), now)
+	share := 1.0
+	if level := d.classes.Level(ticket.Priority); !g.classLoad.underGuarantee(level) {
+		share = d.classes.Share(level, &d.demand, g.reportedState(now) != unreported, now)
+	}
+	reason := ""
+	if share < 1 {
+		reason = reasonClassLimit
+	}
+	if d.organisations.isLarge(ticket.Organisation, now) {
+		share *= largeOrganisationShare
+		reason = reasonOrganisationLimit
+	}
+	if d.hasShareOfRoom(g, share*float64(limit), float64(total), now) {
+		return true
+	}
+	if reason != "" && d.hasShareOfRoom(g, float64(limit), float64(total), now) {
+		d.blockedBy = reason
+	}
+	return false
 }
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -95,7 +95,9 @@
 	classes        classes.Table
 	sent           map[uint64]sentRequest // Requests in flight of a service with classes, by ticket.
 	onTimeArrivals []time.Time            // When tickets arrived that could meet their objective, for the times within rateWindow.
-	blockedBy      string                 // Why the last ticket could not be sent; empty if no server had room.
+	demand         classes.Demand
+	organisations  organisationLoads
+	blockedBy      string // Why the last ticket could not be sent; empty if no server had room.
 }
 
 // NewDispatcher returns a dispatcher for one service.
@@ -160,10 +162,12 @@
 // Submit decides about a new ticket and queues it if the verdict is Wait. random
 // is a random number in [0, 1) for the choice of the server.
 func (d *Dispatcher) Submit(ticket Ticket, random float64, now time.Time) Decision {
+	first := d.meetsSLO(ticket, now) && !d.anyMeetsSLO(now)
 	if d.classes.Enabled() {
 		d.recordArrival(ticket, now)
+		first = d.goesFirst(ticket, now)
 	}
-	if len(d.queue) == 0 || d.meetsSLO(ticket, now) && !d.anyMeetsSLO(now) {
+	if len(d.queue) == 0 || first {
 		if decision, ok := d.tryDispatch(ticket, random, now); ok {
 			return decision
 		}
@@ -210,16 +214,18 @@
 	var decisions []Decision
 	d.sortQueue(now)
 	kept := d.queue[:0]
-	blocked := false
+	var blocked blockedTickets
 	for _, ticket := range d.queue {
-		if !blocked {
+		if !d.isBlocked(ticket, &blocked, now) {
 			if decision, ok := d.tryDispatch(ticket, random(), now); ok {
 				decisions = append(decisions, decision)
 				continue
 			}
 			// A ticket that has already found the group closed does not block those
 			// behind it: they may probe the group.
-			blocked = !(ticket.FoundClosed && d.anyClosed())
+			if !ticket.FoundClosed || !d.anyClosed() {
+				blocked.add(d.blockedBy, d.classes.Level(ticket.Priority))
+			}
 		}
 		if pause := d.pauseOfAll(now); pause > maxPredictedWait || pause > 0 && now.Add(pause).After(ticket.Deadline) {
 			decision := d.newDecision(ticket, now)
--- a/policy/dispatch/late_share.go
+++ b/policy/dispatch/late_share.go
@@ -17,6 +17,7 @@
 
 // recordArrival records that a ticket of a service with classes has arrived.
 func (d *Dispatcher) recordArrival(ticket Ticket, now time.Time) {
+	d.demand.Observe(d.classes.Level(ticket.Priority), now)
 	if d.meetsSLO(ticket, now) {
 		d.onTimeArrivals = append(d.onTimeArrivals, now)
 	}
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -126,6 +126,10 @@
 // sortQueue sorts the queued tickets: those that can still meet their latency
 // objective come first, then by priority, then by arrival.
 func (d *Dispatcher) sortQueue(now time.Time) {
+	if d.classes.Enabled() {
+		d.sortQueueByClass(now)
+		return
+	}
 	sort.SliceStable(d.queue, func(i, j int) bool {
 		a, b := d.queue[i], d.queue[j]
 		if meetsSLO := d.meetsSLO(a, now); meetsSLO != d.meetsSLO(b, now) {
@@ -194,5 +198,8 @@
 	if limited {
 		rate = min(rate, perSecond)
 	}
+	if d.classes.Enabled() {
+		return wait + d.predictedClassWait(ticket, rate, now)
+	}
 	return wait + time.Duration(float64(ahead)/rate*float64(time.Second))
 }
