--- a/server/gateway/wait.go
+++ b/server/gateway/wait.go
@@ -26,7 +26,8 @@
 	minFirstEventTime = 300 * time.Millisecond
 
 	// maxStatedTokens is the largest number of tokens that a caller's statement counts
-	// for. It is above the memory of any engine and keeps sums of invented numbers small.
+	// for. It is three times the memory of the users' engines (310,000 tokens) and keeps
+	// sums of invented numbers small.
 	maxStatedTokens = 1 << 20
 )
 
