Pass on the dispatcher's Retry-After for requests scheduled by class

Cause: finalError adds up to half of every Retry-After at random. The dispatcher of an enabled service chooses it by level within an interval, at most 2.6 s for a group that lacks ranks; with the addition it would be up to 3.9 s, and callers with 8 s honour 2.67 s. Change: such a Retry-After is sent as decided. Refusals by engines, and services whose routes don't differ, keep the addition.

Tested: go test -race ./gateway in server, ok (24 s).

--- a/server/gateway/classes_test.go
+++ b/server/gateway/classes_test.go
@@ -10,6 +10,7 @@
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/platform/header"
 	"persimmonwind.dev/policy/dispatch"
+	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/policy/workload"
 )
@@ -130,6 +131,25 @@
 	}
 }
 
+// Guards against a Retry-After beyond 2.67 s, which a caller with a deadline of 8 s does not
+// honour, where the dispatcher has chosen one of at most 2.6 s.
+func TestRetryAfterOfClasses(t *testing.T) {
+	Convey("The Retry-After of a dispatcher's refusal is passed on as it is if the request is scheduled by class", t, func() {
+		const chosen = 2600 * time.Millisecond
+		longest := map[bool]time.Duration{}
+		for range 200 {
+			for _, byClass := range []bool{true, false} {
+				refused := &call{attempts: attempts{refusedByDispatcher: true}, latestAttempt: latestAttempt{placement: &placement{byClass: byClass}}}
+				failure := result.Errorf(result.Overloaded, "lacks_ranks")
+				failure.RetryAfter = chosen
+				longest[byClass] = max(longest[byClass], refused.finalError(failure).RetryAfter)
+			}
+		}
+		So(longest[true], ShouldEqual, chosen)
+		So(longest[false], ShouldBeGreaterThan, chosen)
+	})
+}
+
 // Guards against a caller that sets its own priority at the engine, and against services
 // without classes that are told one.
 func TestPriorityThatReachesTheEngine(t *testing.T) {
--- a/server/gateway/retry.go
+++ b/server/gateway/retry.go
@@ -66,5 +66,10 @@
 		// may have run.
 		return result.Errorf(result.BackendFailed, "an earlier attempt may have run; last error: %v", failure)
 	}
+	if c.refusedByDispatcher && c.placement.byClass && failure.RetryAfter > 0 {
+		// The dispatcher has randomised it by level. A random addition would carry it beyond
+		// what callers honour, a third of the time that remains to them.
+		return failure
+	}
 	return retry.FinalError(failure, rand.Uint64())
 }
