Name the level class_level in the log, and add the organisation of waiting requests

Cause: level is the key of a line's severity, so the formatter wrote the new field as fields.level. Within a level, requests wait in the order of their organisations, which no line told. Change: class_level; lines 321 of streams that wait or are refused tell the organisation. LOG_EVENTS.md explains the fields; they are not part of the event's meaning, which is written on each line.

Tested: go test -race ./gateway ./doccheck in server, ok.

--- a/server/doccheck/doccheck_test.go
+++ b/server/doccheck/doccheck_test.go
@@ -67,7 +67,8 @@
 		if index > 0 && events[index-1].ID == event.ID {
 			t.Errorf("event number %d is used twice: %s and %s", event.ID, events[index-1].Name, event.Name)
 		}
-		fmt.Fprintf(&page, "| %d | `%s` | %s | %s |\n", event.ID, event.Name, event.Level, event.Meaning)
+		meaning := strings.TrimSpace(event.Meaning + " " + event.Fields)
+		fmt.Fprintf(&page, "| %d | `%s` | %s | %s |\n", event.ID, event.Name, event.Level, meaning)
 	}
 	checkPage(t, "../../docs/LOG_EVENTS.md", page.String())
 }
--- a/server/gateway/class_load_test.go
+++ b/server/gateway/class_load_test.go
@@ -380,23 +380,35 @@
 			So(found, ShouldHaveLength, 2)
 			for _, fields := range found {
 				So(fields["prompt_tokens"], ShouldEqual, 700)
-				So(fields["level"], ShouldEqual, 2)
+				So(fields["class_level"], ShouldEqual, 2)
 				So(fields["waited_ms"], ShouldEqual, 0)
+				So(fields, ShouldNotContainKey, "level") // The key of the line's severity.
 				So(fields["memory_tokens"], ShouldEqual, 40000)
 			}
 		})
 		Convey("those of a plain request don't", func() {
 			for _, fields := range lines(s, "/safe/x") {
-				So(fields, ShouldNotContainKey, "level")
+				So(fields, ShouldNotContainKey, "class_level")
 			}
 		})
 	})
+	Convey("The lines of a stream that waits and is refused tell its organisation", t, func() {
+		h := newHolding()
+		defer h.end()
+		found := lines(h.system, "/summaries/x")
+		So(found, ShouldHaveLength, 3)
+		for _, fields := range found[:2] {
+			So(fields["organisation"], ShouldEqual, "org-a")
+			So(fields["class_level"], ShouldEqual, 0)
+		}
+		So(found[2]["waited_ms"], ShouldBeGreaterThan, 1000) // The objective is 500 ms, and the grace after it 800 ms.
+	})
 	Convey("At a service whose routes don't differ, no line tells them", t, func() {
 		b := newBackend("b1", answer)
 		s := newSystem(b)
 		defer s.close(b)
 		for _, fields := range lines(s, "/stream/x") {
-			for _, field := range []string{"prompt_tokens", "level", "waited_ms", "memory_tokens"} {
+			for _, field := range []string{"prompt_tokens", "class_level", "waited_ms", "memory_tokens"} {
 				So(fields, ShouldNotContainKey, field)
 			}
 		}
--- a/server/gateway/placement.go
+++ b/server/gateway/placement.go
@@ -84,9 +84,10 @@
 	d.memoryTokens = kept
 }
 
-// logFields adds the log fields of a stream that is scheduled by class.
+// logFields adds the log fields of a stream that is scheduled by class. The key "level" is
+// the severity of the line.
 func (p *placement) logFields(fields logrus.Fields, promptTokens int, waited time.Duration) {
-	fields["prompt_tokens"], fields["level"], fields["waited_ms"] = promptTokens, p.Level, waited.Milliseconds()
+	fields["prompt_tokens"], fields["class_level"], fields["waited_ms"] = promptTokens, p.Level, waited.Milliseconds()
 	if p.memoryTokens > 0 {
 		fields["memory_tokens"] = p.memoryTokens
 	}
--- a/server/gateway/wait.go
+++ b/server/gateway/wait.go
@@ -109,6 +109,9 @@
 	}
 	if decision.byClass && c.route.Kind == topology.Stream {
 		decision.logFields(fields, c.request.PromptTokens, decision.waited)
+		if decision.Verdict != dispatch.Go {
+			fields["organisation"] = c.organisationName() // Orders the requests that wait.
+		}
 	}
 	logevent.Write(c.log, logevent.RequestPlaced, fields)
 }
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -2,6 +2,9 @@
 
 import "github.com/sirupsen/logrus"
 
+// classFields are the fields of the lines about streams that are scheduled by class.
+const classFields = "Of a stream that is scheduled by class: `class_level` (0 is the most urgent), `prompt_tokens` as the caller states them (0 for none), `waited_ms` in this entry's queue, `memory_tokens` in use at the server when it was chosen, if reported."
+
 // Events of entries and agents on the users' platform.
 var (
 	ProcessStarted   = define(105, "process_started", logrus.InfoLevel, "The process has started with these settings.")
@@ -15,8 +18,9 @@
 	StoreRestored        = define(223, "store_restored", logrus.WarnLevel, "The store came back from an older copy; the process lists the table again and keeps what the copy lacks for some seconds.")
 	RowUnreadable        = define(222, "row_unreadable", logrus.WarnLevel, "A row of the store can't be decoded; the other rows are used.")
 
-	RequestEnded          = define(320, "request_ended", logrus.InfoLevel, "A request was answered or abandoned.")
-	RequestPlaced         = define(321, "request_placed", logrus.InfoLevel, "A request was assigned to a backend server, queued or refused.")
+	RequestEnded  = define(320, "request_ended", logrus.InfoLevel, "A request was answered or abandoned.", classFields)
+	RequestPlaced = define(321, "request_placed", logrus.InfoLevel, "A request was assigned to a backend server, queued or refused.",
+		classFields, "Unless it was sent, also `organisation`.")
 	AttemptFailed         = define(322, "attempt_failed", logrus.InfoLevel, "A backend server did not answer a request completely; the field again tells whether another attempt follows.")
 	CallerDisconnected    = define(324, "caller_gone", logrus.DebugLevel, "The caller disconnected while its answer was being written.")
 	HeaderRejected        = define(323, "header_rejected", logrus.WarnLevel, "A header of a request can't be decoded; the request is handled without it.")
--- a/server/logevent/logevent.go
+++ b/server/logevent/logevent.go
@@ -2,7 +2,11 @@
 // listed in docs/LOG_EVENTS.md.
 package logevent
 
-import "github.com/sirupsen/logrus"
+import (
+	"strings"
+
+	"github.com/sirupsen/logrus"
+)
 
 // Event is one kind of log line, identified by a number.
 type Event struct {
@@ -10,6 +14,7 @@
 	Name    string
 	Level   logrus.Level
 	Meaning string
+	Fields  string // Fields whose names don't explain them, for the documentation; Meaning is written on each line.
 }
 
 // Event numbers: 1xx process lifecycle, 2xx configuration, 3xx traffic, 4xx
@@ -31,8 +36,8 @@
 
 var events []Event
 
-func define(id int, name string, level logrus.Level, meaning string) Event {
-	event := Event{ID: id, Name: name, Level: level, Meaning: meaning}
+func define(id int, name string, level logrus.Level, meaning string, fields ...string) Event {
+	event := Event{ID: id, Name: name, Level: level, Meaning: meaning, Fields: strings.Join(fields, " ")}
 	events = append(events, event)
 	return event
 }
