Soak: routes that differ in priority and objective in even seeds

In even seeds every other configuration has two more streaming routes, and the engine's cost of prompts, so that scheduling by class begins and ends with requests in flight. Callers state sizes and priorities, most of them invented. A check fails if no line of such a seed, or any line of another, tells a class. Seed 2 runs by default beside seed 1, whose requests and faults are unchanged.

--- a/server/soak/callers_test.go
+++ b/server/soak/callers_test.go
@@ -30,11 +30,16 @@
 	drainLimit = 2 * time.Second
 )
 
+// statements are the sizes and priorities that callers state, most of them invented. None
+// may make an entry break a rule.
+var statements = []string{"700,140", "2800,57", "1,1", "0,0", "2147483647,2147483647", "-1,-1", "many", "9", ""}
+
 // attempt is one request, which the caller sends only once, and its outcome as seen by
 // the caller.
 type attempt struct {
 	id        string
 	path      string
+	stated    string // Size and priority that the caller states of the request.
 	entry     *machine
 	startedAt time.Time
 	endedAt   time.Time
@@ -68,11 +73,17 @@
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callerDeadline + time.Second}
 	paths := []string{"/stream/a", "/stream/b", "/book/a", "/book/b", "/look/a"}
+	if c.d.classes {
+		paths = append(paths, "/stream/urgent/a", "/stream/patient/a")
+	}
 	for ctx.Err() == nil {
 		a := attempt{
 			id: fmt.Sprintf("%d-%d-%d", seed, number, c.sent.Add(1)), path: paths[random.IntN(len(paths))],
 			entry: c.d.machines[random.IntN(entries)], startedAt: time.Now(),
 		}
+		if c.d.classes {
+			a.stated = statements[random.IntN(len(statements))]
+		}
 		c.send(client, &a)
 		a.endedAt = time.Now()
 		c.mu.Lock()
@@ -97,6 +108,11 @@
 	request.GetBody = nil // Keeps the transport from resending the request: every attempt is sent once.
 	request.Header.Set(header.AttemptID, a.id)
 	request.Header.Set(header.Deadline, fmt.Sprint(callerDeadline.Milliseconds()))
+	if c.d.classes {
+		request.Header.Set(header.Tokens, a.stated)
+		request.Header.Set(header.LengthHint, a.stated)
+		request.Header.Set(header.Priority, a.stated)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		a.failure = err.Error()
--- a/server/soak/deployment_test.go
+++ b/server/soak/deployment_test.go
@@ -64,6 +64,7 @@
 	executionLog  *platformtest.ExecutionLog
 	backends      []*backend
 	machines      []*machine // The entries, followed by the agents.
+	classes       bool       // Every other configuration, from the first on, has streaming routes that differ in priority and objective.
 
 	mu         sync.Mutex
 	version    int64
@@ -82,7 +83,8 @@
 func newDeployment(t *testing.T, seed uint64, number int) *deployment {
 	d := &deployment{
 		t: t, dir: t.TempDir(), networkPrefix: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, number%250+1),
-		store: platformtest.NewStore(), group: platformtest.NewGroup(shape, seed), executionLog: platformtest.NewExecutionLog(),
+		classes: seed%2 == 0,
+		store:   platformtest.NewStore(), group: platformtest.NewGroup(shape, seed), executionLog: platformtest.NewExecutionLog(),
 	}
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
@@ -153,7 +155,11 @@
 	defer d.mu.Unlock()
 	d.version += 3
 	d.extraRoute = extraRoute
-	d.put(platform.TableOperators, platformtest.ConfigurationKey, platformtest.Configuration(d.version, shape, extraRoute))
+	configuration := platformtest.Configuration(d.version, shape, extraRoute)
+	if d.classes && d.version%2 == 1 {
+		platformtest.AddClasses(configuration)
+	}
+	d.put(platform.TableOperators, platformtest.ConfigurationKey, configuration)
 	d.changedAt = time.Now()
 }
 
--- a/server/soak/soak_test.go
+++ b/server/soak/soak_test.go
@@ -4,12 +4,14 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,7 +23,7 @@
 )
 
 var (
-	firstSeed = flag.Uint64("soak.seed", 0, "first seed; 0 for the default seed and the regression seeds")
+	firstSeed = flag.Uint64("soak.seed", 0, "first seed; 0 for the default seeds and the regression seeds; even seeds have routes that differ in priority and objective")
 	seedCount = flag.Uint64("soak.seeds", 1, "number of consecutive seeds, starting at -soak.seed")
 	duration  = flag.Duration("soak.time", 8*time.Second, "time during which faults are injected, per seed")
 	keepLogs  = flag.String("soak.logs", "", "directory for the logs of failing seeds")
@@ -31,8 +33,9 @@
 // failure.
 var regressionSeeds = []uint64{}
 
-// defaultSeed runs whenever no seed is given.
-const defaultSeed = 1
+// defaultSeeds run whenever no seed is given: one without and one with routes that differ
+// in priority and objective.
+var defaultSeeds = []uint64{1, 2}
 
 var binary string
 
@@ -41,7 +44,7 @@
 }
 
 func TestSoak(t *testing.T) {
-	seeds := append([]uint64{defaultSeed}, regressionSeeds...)
+	seeds := slices.Concat(defaultSeeds, regressionSeeds)
 	if *firstSeed != 0 {
 		seeds = nil
 		for i := range *seedCount {
@@ -78,6 +81,7 @@
 	if passAfter == passBefore {
 		c.report("the group runs no passes after all faults have ended")
 	}
+	c.checkClasses()
 	version, _ := d.group.Version()
 	t.Logf("%d requests, %d faults, map version %d", len(c.attempts), faultInjector.count, version)
 	for i, violated := range c.violated {
@@ -115,6 +119,22 @@
 	}
 }
 
+// checkClasses checks that entries have scheduled requests by class exactly if the
+// configuration's routes differ in the seed.
+func (c *checker) checkClasses() {
+	lines := 0
+	for _, m := range c.d.machines[:entries] {
+		data, err := os.ReadFile(m.log.Name())
+		if err != nil {
+			c.report("read log: %v", err)
+		}
+		lines += bytes.Count(data, []byte(`"class_level":`))
+	}
+	if lines > 0 != c.d.classes {
+		c.report("%d log lines of requests that were scheduled by class", lines)
+	}
+}
+
 // checkRecovery checks that at least 90 % of the requests that start after from,
 // when all faults have ended, are answered completely.
 func (c *checker) checkRecovery(from time.Time) {
