--- a/server/gateway/classes_test.go
+++ b/server/gateway/classes_test.go
@@ -10,6 +10,7 @@
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/platform/header"
 	"persimmonwind.dev/policy/dispatch"
+	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/policy/workload"
 )
@@ -74,17 +75,17 @@
 	}
 }
 
-// classConfiguration returns a configuration with three streaming routes of different
-// urgency to the engine service "s", and one of a plain service's kind.
+// classConfiguration returns the default configuration with an engine as service "s" and
+// the streaming routes of a deployment, which differ in urgency.
 func classConfiguration() *topology.Configuration {
 	config := configuration()
 	config.Services["s"] = topology.Service{Name: "s", Engine: &topology.Engine{Slots: 4, Stride: 6, StepMS: 4.84, PerSequenceMS: 0.362}}
 	stream := config.Routes[1]
 	stream.InterTokenTarget = 150 * time.Millisecond
+	objectives := []time.Duration{500 * time.Millisecond, 500 * time.Millisecond, time.Second}
 	for priority, name := range []string{"summaries", "drafts", "digests"} {
 		route := stream
-		route.Name, route.Prefix, route.Priority = name, "/"+name+"/", priority
-		route.Objective = time.Duration(priority+1) * 500 * time.Millisecond
+		route.Name, route.Prefix, route.Priority, route.Objective = name, "/"+name+"/", priority, objectives[priority]
 		config.Routes = append(config.Routes, route)
 	}
 	return config
@@ -130,6 +131,25 @@
 	}
 }
 
+// Guards against a Retry-After beyond 2.67 s, which a caller with a deadline of 8 s does not
+// honour, where the dispatcher has chosen one of at most 2.6 s.
+func TestRetryAfterOfClasses(t *testing.T) {
+	Convey("The Retry-After of a dispatcher's refusal is passed on as it is if the request is scheduled by class", t, func() {
+		const chosen = 2600 * time.Millisecond
+		longest := map[bool]time.Duration{}
+		for range 200 {
+			for _, byClass := range []bool{true, false} {
+				refused := &call{attempts: attempts{refusedByDispatcher: true}, latestAttempt: latestAttempt{placement: &placement{byClass: byClass}}}
+				failure := result.Errorf(result.Overloaded, "lacks_ranks")
+				failure.RetryAfter = chosen
+				longest[byClass] = max(longest[byClass], refused.finalError(failure).RetryAfter)
+			}
+		}
+		So(longest[true], ShouldEqual, chosen)
+		So(longest[false], ShouldBeGreaterThan, chosen)
+	})
+}
+
 // Guards against a caller that sets its own priority at the engine, and against services
 // without classes that are told one.
 func TestPriorityThatReachesTheEngine(t *testing.T) {
--- a/server/gateway/wait.go
+++ b/server/gateway/wait.go
@@ -26,7 +26,8 @@
 	minFirstEventTime = 300 * time.Millisecond
 
 	// maxStatedTokens is the largest number of tokens that a caller's statement counts
-	// for. It is above the memory of any engine and keeps sums of invented numbers small.
+	// for. It is three times the memory of the users' engines (310,000 tokens) and keeps
+	// sums of invented numbers small.
 	maxStatedTokens = 1 << 20
 )
 
@@ -108,6 +109,9 @@
 	}
 	if decision.byClass && c.route.Kind == topology.Stream {
 		decision.logFields(fields, c.request.PromptTokens, decision.waited)
+		if decision.Verdict != dispatch.Go {
+			fields["organisation"] = c.organisationName() // Orders the requests that wait.
+		}
 	}
 	logevent.Write(c.log, logevent.RequestPlaced, fields)
 }
