--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -74,12 +74,13 @@
 		return
 	}
 	server.otherRequests = max(0, report.Queued+report.Active-server.ownRequests)
+	changed := server.closed == report.Open || server.reportAt.IsZero()
 	server.closed, server.slowdown, server.reportAt = !report.Open, max(1, report.Pace), now
 	if report.Group != "" {
 		d.joinGroup(server, report.Group)
 	}
 	server.group.pace.maxSlowdown = server.group.maxSlowdown(now)
-	if d.classes.Enabled() {
+	if d.classes.Enabled() && (changed || server.group.gate.closed) {
 		server.group.gate.allows(server.group.reportedState(now), now) // Notices that the group closes or opens.
 		server.group.trackOpening(now)
 	}
