Refuse requests at once while a group lacks ranks; spread Retry-After

Cause: with a zone of 21 ranks without power for 6.8 s, requests waited for a group that could not open, and all refused callers were told the same time.

Change, for services with classes: while all groups are closed and over a twentieth of their servers have sent no report for 1 s, new requests are refused (lacks_ranks), and queued ones when their caller leaves within the time that forming takes. Retry-After is drawn from an interval after the predicted time, divided among the levels, the most urgent first; 1.5 to 2.6 s for lacks_ranks.

TestOutageOfAZone failed without the check (the requests waited).

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -116,7 +116,7 @@
 	for _, candidate := range candidates {
 		srv := d.byID[candidate.ID]
 		if srv == nil {
-			srv = &server{}
+			srv = &server{configuredAt: now}
 		}
 		srv.candidate = candidate
 		byID[candidate.ID] = srv
@@ -162,6 +162,12 @@
 // Submit decides about a new ticket and queues it if the verdict is Wait. random
 // is a random number in [0, 1) for the choice of the server.
 func (d *Dispatcher) Submit(ticket Ticket, random float64, now time.Time) Decision {
+	decision := d.submit(ticket, random, now)
+	d.spreadRetryAfter(&decision, random)
+	return decision
+}
+
+func (d *Dispatcher) submit(ticket Ticket, random float64, now time.Time) Decision {
 	first := d.meetsSLO(ticket, now) && !d.anyMeetsSLO(now)
 	if d.classes.Enabled() {
 		d.recordArrival(ticket, now)
@@ -187,6 +193,10 @@
 			return decision
 		}
 	}
+	if d.lacksRanks(now) {
+		decision.Verdict, decision.Reason = Refuse, reasonLacksRanks
+		return decision
+	}
 	if d.allClosed() {
 		// The wait can't be predicted while the group is closed, so the queue is
 		// bounded by the requests that the group can take when it opens.
@@ -234,19 +244,27 @@
 			decisions = append(decisions, decision)
 			continue
 		}
-		if d.timedOut(ticket, now) {
+		if hopeless := d.isHopeless(ticket, now); hopeless || d.timedOut(ticket, now) {
 			decision := d.newDecision(ticket, now)
 			decision.Verdict, decision.Reason = Refuse, "waited_too_long"
 			decision.RetryAfter = max(minRetryAfter, d.predictedWait(ticket, now))
 			if d.allClosed() {
 				decision.Reason, decision.RetryAfter = "group_closed", closedRetryAfter
 			}
+			if hopeless {
+				decision.Reason = reasonLacksRanks
+			}
 			decisions = append(decisions, decision)
 			continue
 		}
 		kept = append(kept, ticket)
 	}
 	d.queue = kept
+	for i := range decisions {
+		if decisions[i].Verdict == Refuse {
+			d.spreadRetryAfter(&decisions[i], random())
+		}
+	}
 	return decisions
 }
 
--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -33,6 +33,7 @@
 	ownRequests   int       // Requests of this entry in flight.
 	otherRequests int       // Requests of other entries in flight at the time of the last load report.
 	reportAt      time.Time // When the last load report arrived.
+	configuredAt  time.Time // When the server was first listed.
 	closed        bool      // The server's group takes no work.
 	slowdown      float64   // Time of a pass relative to a normal server, which has 1.
 	busyUntil     time.Time // Until then the server gets no requests, after it refused one or was replaced.
