--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -70,6 +70,7 @@
 	Server              topology.Candidate // The chosen server if the verdict is Go.
 	RetryAfter          time.Duration      // When the caller may retry if the verdict is Refuse.
 	Reason              string
+	BlockedBy           string        // For a refusal at a service with classes: what last kept a ticket in the queue.
 	Level               int           // Level of urgency of the ticket, 0 for the most urgent.
 	OwnInFlight         int           // Requests of this entry in flight at the service.
 	TotalInFlight       int           // Requests of all entries in flight at the service, as far as known.
@@ -163,7 +164,7 @@
 // is a random number in [0, 1) for the choice of the server.
 func (d *Dispatcher) Submit(ticket Ticket, random float64, now time.Time) Decision {
 	decision := d.submit(ticket, random, now)
-	d.spreadRetryAfter(&decision, random)
+	d.completeRefusal(&decision, random)
 	return decision
 }
 
@@ -262,7 +263,7 @@
 	d.queue = kept
 	for i := range decisions {
 		if decisions[i].Verdict == Refuse {
-			d.spreadRetryAfter(&decisions[i], random())
+			d.completeRefusal(&decisions[i], random())
 		}
 	}
 	return decisions
--- a/policy/dispatch/opening.go
+++ b/policy/dispatch/opening.go
@@ -76,15 +76,13 @@
 // limit requests may be in flight and total are known of. The other entries see the same
 // room until reports show the requests, so that each entry takes only its part of it.
 func (d *Dispatcher) hasShareOfRoom(g *group, limit, total float64, now time.Time) bool {
-	own, entries := g.ownRequests(), float64(d.runningEntries())
-	growth := g.ownGrowth(own, now)
-	if float64(growth) >= max(1, lagRoomShare*(limit-total)/entries) {
-		return false
-	}
+	own, entries := float64(g.ownRequests()), float64(d.runningEntries())
+	growth := float64(g.ownGrowth(int(own), now))
+	room, full := (limit-total)/entries, total >= limit
 	if g.pace.observedAt.IsZero() {
 		// The limit may be far too low for a group that other entries use already, so the
-		// total does not count.
-		return float64(own) < max(1, math.Floor(limit/entries))
+		// entry's part of it counts instead of the total.
+		room, full = limit/entries-own, own >= max(1, math.Floor(limit/entries))
 	}
-	return total < limit
+	return !full && growth < max(1, lagRoomShare*room)
 }
--- a/policy/dispatch/retry_after.go
+++ b/policy/dispatch/retry_after.go
@@ -55,13 +55,14 @@
 	return d.lacksRanks(now) && ticket.Deadline.Sub(now) <= formingTime
 }
 
-// spreadRetryAfter spreads Retry-After of a refused ticket by a random number in [0, 1), for a
-// service with classes. The interval after the predicted time is divided among the levels, so
-// that urgent callers return first.
-func (d *Dispatcher) spreadRetryAfter(decision *Decision, random float64) {
+// completeRefusal records what kept tickets in the queue in a refusal at a service with
+// classes, and spreads its Retry-After by a random number in [0, 1). The interval after the
+// predicted time is divided among the levels, so that urgent callers return first.
+func (d *Dispatcher) completeRefusal(decision *Decision, random float64) {
 	if decision.Verdict != Refuse || !d.classes.Enabled() {
 		return
 	}
+	decision.BlockedBy = d.waitReason()
 	from := decision.RetryAfter
 	spread := max(minRetrySpread, time.Duration(retrySpread*float64(from)))
 	if from < maxLackingRetryAfter {
--- a/policy/dispatch/retry_after_test.go
+++ b/policy/dispatch/retry_after_test.go
@@ -92,7 +92,7 @@
 		for i := range 100 {
 			decision := earliest
 			decision.Verdict, decision.Level = Refuse, i%3
-			d.spreadRetryAfter(&decision, float64(i)/100)
+			d.completeRefusal(&decision, float64(i)/100)
 			So(decision.RetryAfter, ShouldBeBetweenOrEqual, time.Second, time.Second*3/2)
 			times[decision.RetryAfter] = true
 		}
