--- a/policy/dispatch/server.go
+++ b/policy/dispatch/server.go
@@ -33,6 +33,7 @@
 	ownRequests   int       // Requests of this entry in flight.
 	otherRequests int       // Requests of other entries in flight at the time of the last load report.
 	reportAt      time.Time // When the last load report arrived.
+	configuredAt  time.Time // When the server was first listed.
 	closed        bool      // The server's group takes no work.
 	slowdown      float64   // Time of a pass relative to a normal server, which has 1.
 	busyUntil     time.Time // Until then the server gets no requests, after it refused one or was replaced.
@@ -74,12 +75,13 @@
 		return
 	}
 	server.otherRequests = max(0, report.Queued+report.Active-server.ownRequests)
+	changed := server.closed == report.Open || server.reportAt.IsZero()
 	server.closed, server.slowdown, server.reportAt = !report.Open, max(1, report.Pace), now
 	if report.Group != "" {
 		d.joinGroup(server, report.Group)
 	}
 	server.group.pace.maxSlowdown = server.group.maxSlowdown(now)
-	if d.classes.Enabled() {
+	if d.classes.Enabled() && (changed || server.group.gate.closed) {
 		server.group.gate.allows(server.group.reportedState(now), now) // Notices that the group closes or opens.
 		server.group.trackOpening(now)
 	}
