Give coordinators that hold a lease even fencing numbers

Odd ones are free for provisional coordinators, so that the two never coincide. The rows in the store keep their numbers; a coordinator's number is twice its row's. Versions (number x 2^20 in an int64) stay positive and rise with the number for store eras up to 2^21.

TestLeaseNumberCoincidesWithAProvisionalOne failed before ("number 1048577 after lease 0"). TestVersionsOfHigherNumbersAreLower passes before and after: it states the range that the doubled numbers use.

--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -148,7 +148,7 @@
 // the lease. silence is the time since a coordinator last called.
 func (a *Agent) acquireAndCoordinate(ctx context.Context, state topology.RankState, silence time.Duration, maxSeenFence uint64) bool {
 	fields := logrus.Fields{"group": state.Group, "silence_ms": silence.Milliseconds()}
-	fence, obsolete, err := acquireLease(ctx, a.Store, state.Group, a.InstanceName, maxSeenFence)
+	fence, obsolete, err := a.acquireFence(ctx, state.Group, maxSeenFence)
 	if err != nil {
 		if !errors.Is(err, errLeaseLost) {
 			fields["error"] = err.Error()
