Let a coordinator of map changes be provisional: for one epoch only

The number of a provisional coordinator is unique only in the epoch in which it was elected, so it stops at the first report of a later epoch (TestProvisionalCoordinatorGoesOnInALaterEpoch fails without that) and ignores reports of earlier ones.

--- a/policy/mapswitch/group_test.go
+++ b/policy/mapswitch/group_test.go
@@ -14,13 +14,16 @@
 	highestVersion int64 // The highest map version that the rank has prepared.
 	prepared       int64
 	content        map[int64]string // By version: the content of every map that the rank has prepared.
-	maps           map[int64]Map    // By version: the maps of content, as the rank's agent remembers them.
+	maps           map[mapKey]Map   // The maps of content, as the rank's agent remembers them, also after the epoch.
 	version        int64
 	armed          int64
 	armedPass      int64
 	heldPass       int64
 }
 
+// mapKey names a map in the memory of an agent.
+type mapKey struct{ epoch, version int64 }
+
 // modelGroup models a group of ranks that run passes in lock-step. It counts the
 // epochs, one each time the group forms, and the passes begun.
 type modelGroup struct {
@@ -39,8 +42,11 @@
 // prepared or armed map version and no pass before which it waits.
 func (g *modelGroup) startEpoch() {
 	g.epoch++
-	for i := range g.ranks {
-		g.ranks[i] = &modelRank{content: map[int64]string{0: "0"}, maps: map[int64]Map{}}
+	for i, before := range g.ranks {
+		g.ranks[i] = &modelRank{content: map[int64]string{0: "0"}, maps: map[mapKey]Map{}}
+		if before != nil {
+			g.ranks[i].maps = before.maps
+		}
 	}
 }
 
@@ -54,7 +60,7 @@
 	case topology.Prepare:
 		if order.Version > r.highestVersion && r.armed == 0 {
 			r.highestVersion, r.prepared = order.Version, order.Version
-			r.content[order.Version], r.maps[order.Version] = fmt.Sprint(order.Map), order.Map
+			r.content[order.Version], r.maps[mapKey{g.epoch, order.Version}] = fmt.Sprint(order.Map), order.Map
 		}
 	case topology.Arm:
 		if r.prepared == order.Version && order.Pass > g.pass {
@@ -79,7 +85,7 @@
 // agent knows the base map of the order, it builds the next map from its own copy and
 // the changes.
 func (g *modelGroup) expand(send SendOrder) topology.Order {
-	base, hasBase := g.ranks[send.Rank].maps[send.BaseVersion]
+	base, hasBase := g.ranks[send.Rank].maps[mapKey{send.Order.Epoch, send.BaseVersion}]
 	if send.Order.Kind != topology.Prepare || send.BaseMap == nil || !hasBase {
 		return send.Order
 	}
@@ -146,10 +152,15 @@
 	pending        []reduce.Effect // Effects not executed yet.
 	delayedReports []RankRead      // Reports still in flight.
 	planCount      int
+	id             int // Makes the maps that the coordinator plans differ from those of others.
 }
 
 func newModelCoordinator(fence uint64, rank int) *modelCoordinator {
-	c := &modelCoordinator{state: New(fence, rank)}
+	return modelCoordinatorOf(New(fence, rank), int(fence))
+}
+
+func modelCoordinatorOf(state State, id int) *modelCoordinator {
+	c := &modelCoordinator{state: state, id: id}
 	c.state.readAgeLimitOverride = time.Hour // Reads are rare in the model.
 	return c
 }
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -28,9 +28,11 @@
 //     report of any age that shows a rank armed stays valid until the pass
 //     begins.
 //   - A pass is never held while an order to release it may still be in flight.
-//   - A version number contains the fencing number of the lease that created it,
-//     so that no version ever has two contents. A coordinator stops when a rank
-//     reports a version of a later lease.
+//   - A version number contains the fencing number of the coordinator that created
+//     it, so that no version ever has two contents in an epoch. A coordinator stops
+//     when a rank reports a version of a higher number.
+//   - The number of a provisional coordinator, which agents have elected instead of
+//     a lease holder, is unique only in its epoch. It stops in later epochs.
 package mapswitch
 
 import (
@@ -103,7 +105,7 @@
 
 // State is the coordinator's view of its group.
 type State struct {
-	Fence uint64 // Fencing number of the lease.
+	Fence uint64 // Fencing number of the lease, or the number of a provisional coordinator.
 	Epoch int64
 	Size  int // Number of ranks in this epoch.
 	Ranks map[int]Rank
@@ -122,6 +124,9 @@
 	minHoldPass          int64         // The lowest pass that may be held: an order to release a lower one may still be in flight.
 
 	superseded bool // A rank has reported a version of a later lease; all input is ignored from then on.
+	// isProvisional means that the number is unique in Epoch only, in which the coordinator
+	// was elected. It stops in later epochs.
+	isProvisional bool
 
 	versionsMade int64 // Number of versions created under this lease.
 	ordersLost   bool  // An order to prepare had to be resent in this change.
@@ -148,6 +153,14 @@
 	return State{Fence: fence, ownRank: ownRank, Ranks: map[int]Rank{}, releasablePasses: map[int64]bool{}}
 }
 
+// NewProvisional returns the state of a coordinator that was elected in the epoch and has
+// the number as its fencing number there.
+func NewProvisional(fence uint64, ownRank int, epoch int64) State {
+	s := New(fence, ownRank)
+	s.Epoch, s.isProvisional = epoch, true
+	return s
+}
+
 // RankRead carries a rank's own report and, if they were read, the lists of the
 // experts that it holds.
 type RankRead struct {
@@ -226,6 +239,12 @@
 
 func (Superseded) EffectName() string { return "mapswitch.resigned" }
 
+// EpochEnded reports that a rank is in a later epoch than the one in which this
+// provisional coordinator was elected, so that it must stop.
+type EpochEnded struct{ Epoch int64 }
+
+func (EpochEnded) EffectName() string { return "mapswitch.epoch_ended" }
+
 // Step applies one input to the state. It modifies the Go maps inside the state, so
 // the caller must not share them.
 func Step(s State, input reduce.Input) (State, []reduce.Effect) {
@@ -280,6 +299,10 @@
 	if state.Epoch < s.Epoch {
 		return s, nil
 	}
+	if s.isProvisional && state.Epoch > s.Epoch {
+		s.superseded = true
+		return s, []reduce.Effect{EpochEnded{Epoch: state.Epoch}}
+	}
 	if s.hasSuccessorVersion(state) {
 		s.superseded = true
 		return s, []reduce.Effect{Superseded{Version: max(state.MapVersion, state.Prepared, state.Armed)}}
--- a/policy/mapswitch/mapswitch_test.go
+++ b/policy/mapswitch/mapswitch_test.go
@@ -176,6 +176,36 @@
 	}
 }
 
+// Guards against two maps of one version: the number of a provisional coordinator may be
+// won again in the next epoch.
+func TestProvisionalCoordinatorGoesOnInALaterEpoch(t *testing.T) {
+	Convey("Given a provisional coordinator with a plan", t, func() {
+		g, now := newModelGroup(4), start
+		c := modelCoordinatorOf(NewProvisional(3, 0, g.epoch), 1)
+		So(runRounds(g, c, &now, 4, nil), ShouldBeNil)
+		c.plan(now)
+		So(c.state.Phase, ShouldEqual, Preparing)
+		Convey("it puts the map in force", func() {
+			So(runRounds(g, c, &now, 20, nil), ShouldBeNil)
+			So(g.ranks[0].version, ShouldEqual, 3*versionsPerFence+1)
+		})
+		Convey("it stops at the first report of a later epoch and sends no order there", func() {
+			g.startEpoch()
+			c.pending = nil
+			So(runRounds(g, c, &now, 1, func(int) { So(c.pending, ShouldBeEmpty) }), ShouldBeNil)
+			read := g.report(1)
+			c.handle(read, now)
+			So(c.state.superseded, ShouldBeTrue)
+			So(c.state.Epoch, ShouldEqual, g.epoch-1)
+		})
+		Convey("one that is elected late ignores the reports of earlier epochs", func() {
+			late := modelCoordinatorOf(NewProvisional(3, 0, g.epoch+1), 2)
+			readRanks(g, late, now)
+			So(late.state.Ranks, ShouldBeEmpty)
+		})
+	})
+}
+
 func TestRankArmedByPredecessorAfterSurvey(t *testing.T) {
 	Convey("Given a new coordinator that has found a held pass and no armed rank", t, func() {
 		g, first, now := newModelGroup(4), newModelCoordinator(1, 0), start
@@ -252,13 +282,16 @@
 // TestOneMapInEveryPass runs coordinators that pause, crash and supersede each
 // other over a network that loses reports and orders and delivers orders late. A
 // last coordinator then finds the group in an arbitrary state and must get it
-// running again.
+// running again. Some coordinators hold a lease, others were elected for one epoch: their
+// numbers are unique only there and may be lower than those of coordinators before them.
 func TestOneMapInEveryPass(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := newModelGroup(rapid.IntRange(2, 4).Draw(t, "ranks"))
 		network := &lossyNetwork{group: g, fences: map[int]uint64{}}
 		network.refreshStaleReports()
-		coordinators := []*modelCoordinator{newModelCoordinator(1, 0)}
+		coordinators := []*modelCoordinator{modelCoordinatorOf(New(2, 0), 0)}
+		highest, lease := uint64(2), uint64(2)
+		won := map[mapKey]bool{} // Numbers of provisional coordinators, by epoch.
 		now := start
 		active := func() *modelCoordinator {
 			// A paused predecessor may resume and act on its old state.
@@ -297,7 +330,44 @@
 			},
 			"succeed": func(t *rapid.T) {
 				if rapid.IntRange(0, 5).Draw(t, "succeeds") == 0 {
-					coordinators = append(coordinators, newModelCoordinator(uint64(len(coordinators)+1), rapid.IntRange(0, len(g.ranks)-1).Draw(t, "rank")))
+					// An agent that acquires the lease may not know of a provisional coordinator.
+					lease = rapid.SampledFrom([]uint64{lease + 2, max(lease+2, highest+highest%2)}).Draw(t, "lease")
+					highest = max(highest, lease)
+					coordinators = append(coordinators, modelCoordinatorOf(New(lease, rapid.IntRange(0, len(g.ranks)-1).Draw(t, "rank")), len(coordinators)))
+				}
+			},
+			"elect": func(t *rapid.T) {
+				if rapid.IntRange(0, 2).Draw(t, "elected") > 0 {
+					return
+				}
+				// The candidate may be slow and the epoch over.
+				epoch := max(1, g.epoch-int64(rapid.IntRange(0, 1).Draw(t, "epochs ago")))
+				number := (highest + 1) | 1
+				for below := rapid.IntRange(0, 3).Draw(t, "below"); below > 0 && number > 2; below-- {
+					number -= 2
+				}
+				key := mapKey{epoch, int64(number)}
+				if won[key] {
+					return
+				}
+				won[key] = true
+				highest = max(highest, number)
+				rank := rapid.IntRange(0, len(g.ranks)-1).Draw(t, "rank")
+				coordinators = append(coordinators, modelCoordinatorOf(NewProvisional(number, rank, epoch), len(coordinators)))
+				for voter := range g.ranks {
+					if rapid.Bool().Draw(t, "voted") {
+						network.fences[voter] = max(network.fences[voter], number)
+					}
+				}
+			},
+			"progress": func(t *rapid.T) {
+				// Rounds with few faults bring changes far enough for coordinators to get in
+				// each other's way.
+				c := active()
+				for range rapid.IntRange(1, 4).Draw(t, "rounds") {
+					now = now.Add(50 * time.Millisecond)
+					network.runRound(t, c, now)
+					c.plan(now)
 				}
 			},
 			"restart an agent": func(t *rapid.T) {
@@ -320,7 +390,7 @@
 				}
 			},
 		})
-		last := newModelCoordinator(uint64(len(coordinators)+1), 0)
+		last := modelCoordinatorOf(New(highest+2, 0), len(coordinators))
 		if err := runRounds(g, last, &now, 60, nil); err != nil {
 			t.Fatal(err)
 		}
@@ -334,6 +404,36 @@
 	})
 }
 
+// runRound lets the coordinator read all ranks and send its pending orders, of which
+// some are lost. Agents refuse a coordinator with a lower number.
+func (n *lossyNetwork) runRound(t *rapid.T, c *modelCoordinator, now time.Time) {
+	read := func(rank int) {
+		if c.state.Fence < n.fences[rank] {
+			return
+		}
+		n.fences[rank] = c.state.Fence
+		report := n.group.report(rank)
+		report.RequestedAt = now
+		c.handle(report, now)
+	}
+	for rank := range n.group.ranks {
+		read(rank)
+	}
+	effects := c.pending
+	c.pending = nil
+	for _, effect := range effects {
+		send, ok := effect.(SendOrder)
+		if !ok || send.Rank >= len(n.group.ranks) || c.state.Fence < n.fences[send.SenderRank] {
+			continue
+		}
+		if rapid.IntRange(0, 4).Draw(t, "lost order") > 0 {
+			n.group.apply(send.Rank, n.group.expand(send))
+		}
+		c.handle(OrderReturned{Rank: send.Rank, Kind: send.Order.Kind, Answered: true}, now)
+		read(send.Rank)
+	}
+}
+
 // refreshStaleReports updates the reports that callers on other machines read.
 func (n *lossyNetwork) refreshStaleReports() {
 	n.staleReports = n.staleReports[:0]
