Keep late replies of agents out of what is read afterwards

net/rpc writes a reply that arrives after the caller has stopped waiting into the caller's value. A coordinator uses that value again for the report that it reads from the engine itself, so parts of an older report could get into a newer one. Callers now get a copy of a reply that has arrived in time.

TestLateReplyOverwritesALaterRead failed before (expected "own", got "late").

--- a/server/mapcontrol/relay.go
+++ b/server/mapcontrol/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"sync"
 	"time"
 
@@ -131,9 +132,21 @@
 // an agent that is only slow is kept, as a new one would cost that agent more time.
 func callAgent(ctx context.Context, peers *rpc.Pool, agent, method string, args, reply any) error {
 	calledAt := time.Now()
-	err := peers.Call(ctx, agent, method, args, reply)
+	err := callWithOwnReply(ctx, peers, agent, method, args, reply)
 	if errors.Is(err, rpc.ErrUnreachable) {
 		peers.DropSilent(agent, calledAt)
 	}
 	return err
 }
+
+// callWithOwnReply calls an agent and sets reply if the call succeeds. A reply that arrives
+// after the call has timed out is written to a value of its own: the caller goes on to use
+// reply, for instance for the report that it reads from the engine itself.
+func callWithOwnReply(ctx context.Context, peers *rpc.Pool, agent, method string, args, reply any) error {
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	if err := peers.Call(ctx, agent, method, args, own.Interface()); err != nil {
+		return err
+	}
+	reflect.ValueOf(reply).Elem().Set(own.Elem())
+	return nil
+}
--- a/server/mapcontrol/relays_test.go
+++ b/server/mapcontrol/relays_test.go
@@ -284,3 +284,38 @@
 		So(relay.Read(RelayReadArgs{Agents: make([]string, maxRelayedCalls+1)}, &RelayReadReply{}), ShouldNotBeNil)
 	})
 }
+
+// slowRank is the receiver of an agent that replies late.
+type slowRank struct{ replied chan struct{} }
+
+func (r slowRank) Read(_ ReadArgs, reply *ReadReply) error {
+	defer close(r.replied)
+	time.Sleep(50 * time.Millisecond)
+	reply.State.Group = "late"
+	return nil
+}
+
+// Guards against a late reply that is mixed into what is read afterwards, for instance
+// into the report of the engine whose agent has not answered in time.
+func TestLateReplyOverwritesALaterRead(t *testing.T) {
+	Convey("The reply of a call that has timed out does not change after the call has returned", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = listener.Close() }()
+		replied := make(chan struct{})
+		go func() {
+			_ = rpc.Serve(listener, map[string]any{receiverName: slowRank{replied}}, logrus.NewEntry(logrus.New()))
+		}()
+		peers := rpc.NewPool(nil)
+		defer peers.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		var reply ReadReply
+		// Without DropSilent of callAgent, as on a connection on which other replies arrive.
+		So(callWithOwnReply(ctx, peers, listener.Addr().String(), methodRead, ReadArgs{}, &reply), ShouldNotBeNil)
+		reply.State.Group = "own"
+		<-replied
+		time.Sleep(50 * time.Millisecond)
+		So(reply.State.Group, ShouldEqual, "own")
+	})
+}
