Elect a provisional coordinator while the lease table is unreachable

An agent whose attempt to acquire the lease fails because the store can't be reached asks the agents of all ranks for their vote (Rank.Vote) and, with a majority of the epoch's ranks, coordinates the group in this epoch under an odd fencing number. It goes on trying to acquire the lease, which then replaces it. Only for services whose routes compete (CompetingClasses); other agents stop following the topology as soon as they know.

A version may occur again in another epoch with another map, as provisional numbers are unique only in an epoch. Agents now forget the maps to which changes apply when the epoch changes (TestAgentThatKnowsAMapOfAnotherEpoch).

An agent that doesn't know Rank.Vote ends a candidacy: it could acquire a lease with an odd number.

Each test failed with its fault: no election, restarted voters vote, maps kept over epochs, unbounded calls (48 at once instead of 32).

--- a/policy/election/election.go
+++ b/policy/election/election.go
@@ -97,6 +97,12 @@
 	return v
 }
 
+// ObserveNumber records a fencing number that the agent has seen.
+func (v Voter) ObserveNumber(number uint64) Voter {
+	v.highest = max(v.highest, number)
+	return v
+}
+
 // Highest returns the highest number that the voter has voted for or been called with.
 func (v Voter) Highest() uint64 { return v.highest }
 
@@ -145,9 +151,11 @@
 	Number uint64
 	Phase  Phase
 
+	Deadline time.Time // When votes for Number are no longer awaited.
+
 	highest     uint64       // Highest number that the candidate has seen.
 	votes       map[int]bool // Ranks that have voted for Number.
-	deadline    time.Time    // When votes for Number are no longer awaited.
+	contested   bool         // A rank has voted for another candidate under Number.
 	timeLimit   time.Duration
 	numbersLeft int // How many more numbers may be tried.
 }
@@ -182,39 +190,53 @@
 		c.votes = maps.Clone(c.votes)
 		c.votes[reply.Rank] = true
 	}
+	if !reply.Granted && reply.Number == c.Number && reply.Highest == c.Number && !c.votes[reply.Rank] {
+		c.contested = true
+	}
 	if len(c.votes) > c.Size/2 {
 		c.Phase = Elected
 	}
 	return c
 }
 
+// Withdraw ends the candidacy.
+func (c Candidate) Withdraw() Candidate {
+	c.Phase = Defeated
+	return c
+}
+
 // Tick ends the attempt with the current number if its time limit is over.
 func (c Candidate) Tick(now time.Time) Candidate {
-	if c.Phase == Asking && !now.Before(c.deadline) {
+	if c.Phase == Asking && !now.Before(c.Deadline) {
 		return c.tryNextNumber(now)
 	}
 	return c
 }
 
-// ObserveAllReplies ends the attempt with the current number once no reply to its
-// requests is outstanding.
+// ObserveAllReplies ends the attempt with the number once no reply to its requests is
+// outstanding. Another number is tried only if ranks have voted for different candidates:
+// the other reasons to refuse a vote hold for any number.
 func (c Candidate) ObserveAllReplies(number uint64, now time.Time) Candidate {
-	if c.Phase == Asking && number == c.Number {
+	switch {
+	case c.Phase != Asking || number != c.Number:
+		return c
+	case c.contested:
 		return c.tryNextNumber(now)
+	default:
+		return c.Withdraw()
 	}
-	return c
 }
 
 // Votes returns the number of ranks that have voted for the current number.
 func (c Candidate) Votes() int { return len(c.votes) }
 
 func (c Candidate) tryNextNumber(now time.Time) Candidate {
-	number := NextNumber(max(c.highest, c.Number))
-	if c.numbersLeft == 0 || number > MaxNumber || c.Size <= 0 {
-		c.Phase = Defeated
-		return c
+	highest := max(c.highest, c.Number)
+	if c.numbersLeft == 0 || highest >= MaxNumber || c.Size <= 0 {
+		return c.Withdraw()
 	}
 	c.numbersLeft--
-	c.Number, c.votes, c.deadline = number, map[int]bool{}, now.Add(c.timeLimit)
+	c.Number, c.Deadline = NextNumber(highest), now.Add(c.timeLimit)
+	c.votes, c.contested = map[int]bool{}, false
 	return c
 }
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -42,6 +42,8 @@
 	phases *prometheus.CounterVec // Phases of map changes that were entered, by phase.
 	skew   prometheus.Gauge       // Load of the most loaded rank divided by the mean load.
 	copies prometheus.Counter     // Expert copies in planned map changes.
+
+	elections electionMetrics
 }
 
 // NewMetrics registers a coordinator's metrics.
@@ -61,6 +63,7 @@
 		}),
 	}
 	registry.MustRegister(m.phases, m.skew, m.copies)
+	m.elections = newElectionMetrics(registry)
 	return m
 }
 
@@ -74,17 +77,23 @@
 	Engine       Engine
 	DirectEngine func(address string) Engine // Client of a rank's engine, for ranks whose agent is unreachable.
 	Store        Store
-	// FollowTopology keeps Members and EngineModel up to date until ctx ends. Only a
-	// coordinator needs them, and calls to the store are charged for.
+	// FollowTopology keeps Members, EngineModel and CompetingClasses up to date until ctx
+	// ends. Only a coordinator or a candidate needs them, and calls to the store are
+	// charged for.
 	FollowTopology func(ctx context.Context)
 	Members        func() []Member         // Returns the members of the service, including those that are leaving.
 	EngineModel    func() *topology.Engine // Returns the cost model of the service's engines, nil while it is unknown.
-	Log            *logrus.Entry
-	Metrics        *Metrics
-
-	rank  *Rank
-	relay *Relay
-	peers *rpc.Pool
+	// CompetingClasses returns whether the service's streaming routes differ in priority or
+	// objective, false while that is unknown. Only then, agents elect a provisional
+	// coordinator while the lease can't be acquired. If it is nil, they never do.
+	CompetingClasses func() bool
+	Log              *logrus.Entry
+	Metrics          *Metrics
+
+	rank      *Rank
+	relay     *Relay
+	peers     *rpc.Pool
+	candidate candidate
 }
 
 // Serve answers calls from coordinators until the listener is closed.
@@ -96,6 +105,7 @@
 // before Serve and Run.
 func (a *Agent) Prepare() {
 	a.rank = NewRank(a.Engine, a.DirectEngine)
+	a.rank.elections = a.Metrics.elections
 	a.peers = rpc.NewPool(nil)
 	a.relay = &Relay{peers: a.peers}
 }
@@ -104,6 +114,7 @@
 // until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
 	defer a.peers.Close()
+	defer a.stopFollowingTopology()
 	ticker := time.NewTicker(coordinatorCheckInterval)
 	defer ticker.Stop()
 	var notBefore time.Time
@@ -116,11 +127,21 @@
 		if ctx.Err() != nil {
 			return // The ticker may have fired at the same time.
 		}
-		if silence, _ := a.rank.sinceLastCall(); silence < heldCoordinatorTimeout || time.Now().Before(notBefore) {
+		silence, _ := a.rank.sinceLastCall()
+		isCoordinated := silence < heldCoordinatorTimeout
+		if isCoordinated {
+			a.stopFollowingTopology()
+		}
+		isEarly := isCoordinated || time.Now().Before(notBefore)
+		if isEarly && a.rank.hasObservedEpoch() {
 			continue
 		}
 		state, err := a.Engine.Report(ctx)
-		if err != nil || !state.Open || state.Group == "" {
+		if err != nil {
+			continue
+		}
+		a.rank.observeEpoch(state) // A voter must have seen the epoch begin.
+		if isEarly || !state.Open || state.Group == "" {
 			continue
 		}
 		a.rank.observeGroup(state)
@@ -128,8 +149,9 @@
 		if silence < silenceLimit(state) {
 			continue
 		}
-		if !a.acquireAndCoordinate(ctx, state, silence, maxSeenFence) {
+		if err := a.acquireAndCoordinate(ctx, state, silence, maxSeenFence); err != nil {
 			notBefore = time.Now().Add(leaseRetryInterval)
+			a.standForElection(ctx, state.Group, err)
 		}
 	}
 }
@@ -144,24 +166,26 @@
 }
 
 // acquireAndCoordinate acquires the group's lease and coordinates the group until ctx
-// ends or a newer coordinator has called an agent. It returns false if it did not acquire
-// the lease. silence is the time since a coordinator last called.
-func (a *Agent) acquireAndCoordinate(ctx context.Context, state topology.RankState, silence time.Duration, maxSeenFence uint64) bool {
-	fields := logrus.Fields{"group": state.Group, "silence_ms": silence.Milliseconds()}
+// ends or a newer coordinator has called an agent. It returns an error if it did not
+// acquire the lease. silence is the time since a coordinator last called.
+func (a *Agent) acquireAndCoordinate(ctx context.Context, state topology.RankState, silence time.Duration, maxSeenFence uint64) error {
 	fence, obsolete, err := a.acquireFence(ctx, state.Group, maxSeenFence)
 	if err != nil {
 		if !errors.Is(err, errLeaseLost) {
-			fields["error"] = err.Error()
-			logevent.Write(a.Log, logevent.LeaseFailed, fields)
+			logevent.Write(a.Log, logevent.LeaseFailed, logrus.Fields{"group": state.Group, "silence_ms": silence.Milliseconds(), "error": err.Error()})
 		}
-		return false
+		return err
 	}
-	fields["fence"] = fence
-	logevent.Write(a.Log, logevent.LeaseAcquired, fields)
+	a.coordinateWithLease(ctx, state, silence, fence, obsolete)
+	return nil
+}
+
+// coordinateWithLease coordinates the group as the holder of the lease.
+func (a *Agent) coordinateWithLease(ctx context.Context, state topology.RankState, silence time.Duration, fence uint64, obsolete []platform.Row) {
+	logevent.Write(a.Log, logevent.LeaseAcquired, logrus.Fields{"group": state.Group, "silence_ms": silence.Milliseconds(), "fence": fence})
 	go a.removeLeases(ctx, state.Group, obsolete)
 	a.coordinate(ctx, state, fence)
 	logevent.Write(a.Log, logevent.LeaseEnded, logrus.Fields{"group": state.Group, "fence": fence})
-	return true
 }
 
 // removeLeases removes the rows of earlier acquisitions. If that fails, the next holder
@@ -178,9 +202,7 @@
 // coordinate changes the group's expert map until ctx ends or a newer coordinator has
 // called an agent.
 func (a *Agent) coordinate(ctx context.Context, state topology.RankState, fence uint64) {
-	c := a.newCoordinator(state.Group, fence)
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	go a.FollowTopology(ctx)
-	c.run(ctx, state.Rank)
+	a.followTopology(ctx)
+	defer a.stopFollowingTopology()
+	a.newCoordinator(state.Group, fence).run(ctx, state.Rank)
 }
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -76,7 +76,7 @@
 // coordinator changes the expert map of one group for the holder of the group's lease.
 // It stops when it learns of a newer coordinator.
 type coordinator struct {
-	fence        uint64 // Fencing number of the lease.
+	fence        uint64 // Fencing number of the lease, or the number under which the coordinator was elected.
 	group        string
 	members      func() []Member             // Returns the listed members of the service, of all its groups.
 	peers        *rpc.Pool                   // Connections to the agents.
@@ -94,8 +94,9 @@
 
 	engineReads chan struct{} // Holds one element for each read of an engine whose agent does not answer.
 
-	nextUnknownIndex      int // Index of the listed member at which the search for unknown members continues.
-	epoch                 int64
+	nextUnknownIndex      int       // Index of the listed member at which the search for unknown members continues.
+	epoch                 int64     // The latest epoch of the known members; from the start that of the election if isProvisional.
+	isProvisional         bool      // The coordinator was elected, for one epoch.
 	lastRemoteListsReadAt time.Time // When expert lists were last read directly from an engine on another machine.
 	latestPrepareOrder    GiveArgs  // The latest prepare order, with changes instead of a whole map.
 }
@@ -170,8 +171,12 @@
 	c.loop = loop.New(stepCollectingOrders, newView, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
+	state := mapswitch.New(c.fence, ownRank)
+	if c.isProvisional {
+		state = mapswitch.NewProvisional(c.fence, ownRank, c.epoch)
+	}
 	// Run returns no error when its context ends.
-	_ = c.loop.Run(ctx, mapswitch.New(c.fence, ownRank), tickInterval)
+	_ = c.loop.Run(ctx, state, tickInterval)
 }
 
 func (c *coordinator) caller() Caller { return Caller{Fence: c.fence, Group: c.group} }
@@ -189,6 +194,8 @@
 	case mapswitch.Superseded:
 		logevent.Write(c.log, logevent.LeaseSuperseded, logrus.Fields{"group": c.group, "fence": c.fence, "version": effect.Version})
 		c.stop()
+	case mapswitch.EpochEnded:
+		c.stop() // The agent logs the end of its time as provisional coordinator.
 	case mapswitch.PhaseChanged:
 		c.metrics.CountPhase(effect.To.String())
 		logevent.Write(c.log, logevent.MapPhaseEntered, logrus.Fields{
--- a/server/mapcontrol/rank.go
+++ b/server/mapcontrol/rank.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"persimmonwind.dev/platform"
+	"persimmonwind.dev/policy/election"
 	"persimmonwind.dev/policy/hotexperts"
 	"persimmonwind.dev/policy/mapswitch"
 	"persimmonwind.dev/policy/topology"
@@ -106,7 +107,12 @@
 	fence      uint64                  // The highest fencing number of a coordinator of the group.
 	lastCallAt time.Time               // When a coordinator of the group last called, or when the rank joined it.
 	counts     topology.RankCounts     // Counts of the latest read, from which the next gains are computed.
-	maps       map[int64]mapswitch.Map // Maps by version, at most two: the latest prepared map and the base of its changes.
+	maps       map[int64]mapswitch.Map // Maps of mapsEpoch by version, at most two: the latest prepared map and the base of its changes.
+	mapsEpoch  int64
+	voterGroup string         // The group of which voter remembers epochs and votes.
+	voter      election.Voter // Decides on votes for provisional coordinators.
+	votedFor   string         // Name of the instance that got the latest vote; empty if there was none in the group.
+	elections  electionMetrics
 }
 
 // NewRank returns the receiver for the engine beside the agent. The function
@@ -137,6 +143,7 @@
 		return err
 	}
 	r.observeGroup(reply.State)
+	r.observeEpoch(reply.State)
 	return nil
 }
 
@@ -199,6 +206,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := args.Order.Map
+	if args.Order.Epoch != r.mapsEpoch {
+		// The number of a provisional coordinator, and so a version, may occur again in
+		// another epoch with another map.
+		clear(r.maps)
+		r.mapsEpoch = args.Order.Epoch
+	}
 	if args.hasChanges() {
 		base, hasBase := r.maps[args.Base]
 		if args.InTurn.Sets != 0 {
@@ -272,6 +285,7 @@
 	}
 	r.fence = caller.Fence
 	r.lastCallAt = time.Now()
+	r.voter = r.voter.ObserveCall(caller.Fence, r.lastCallAt)
 	return nil
 }
 
