Retry a vote whose replies were lost; bound the wait after a majority

A pause of the machine longer than the timeout of a call lost the votes of all agents that were being asked, and the candidate gave up without a majority. It now asks under the next number if the time limit leaves time. After a majority it waits for other answers only until the first calls have timed out.

--- a/policy/election/election.go
+++ b/policy/election/election.go
@@ -155,7 +155,7 @@
 
 	highest     uint64       // Highest number that the candidate has seen.
 	votes       map[int]bool // Ranks that have voted for Number.
-	contested   bool         // A rank has voted for another candidate under Number.
+	worthRetry  bool         // A rank has voted for another candidate under Number, or a reply was lost.
 	timeLimit   time.Duration
 	numbersLeft int // How many more numbers may be tried.
 }
@@ -191,7 +191,7 @@
 		c.votes[reply.Rank] = true
 	}
 	if !reply.Granted && reply.Number == c.Number && reply.Highest == c.Number && !c.votes[reply.Rank] {
-		c.contested = true
+		c.worthRetry = true
 	}
 	if len(c.votes) > c.Size/2 {
 		c.Phase = Elected
@@ -199,6 +199,13 @@
 	return c
 }
 
+// ObserveLostReply records that a request with the number got no reply. The voter may have
+// granted its vote, which it does only once for a number.
+func (c Candidate) ObserveLostReply(number uint64) Candidate {
+	c.worthRetry = c.worthRetry || c.Phase == Asking && number == c.Number
+	return c
+}
+
 // Withdraw ends the candidacy.
 func (c Candidate) Withdraw() Candidate {
 	c.Phase = Defeated
@@ -214,13 +221,13 @@
 }
 
 // ObserveAllReplies ends the attempt with the number once no reply to its requests is
-// outstanding. Another number is tried only if ranks have voted for different candidates:
-// the other reasons to refuse a vote hold for any number.
+// outstanding. Another number is tried only if ranks have voted for different candidates
+// or replies were lost: the other reasons to refuse a vote hold for any number.
 func (c Candidate) ObserveAllReplies(number uint64, now time.Time) Candidate {
 	switch {
 	case c.Phase != Asking || number != c.Number:
 		return c
-	case c.contested:
+	case c.worthRetry:
 		return c.tryNextNumber(now)
 	default:
 		return c.Withdraw()
@@ -237,6 +244,6 @@
 	}
 	c.numbersLeft--
 	c.Number, c.Deadline = NextNumber(highest), now.Add(c.timeLimit)
-	c.votes, c.contested = map[int]bool{}, false
+	c.votes, c.worthRetry = map[int]bool{}, false
 	return c
 }
--- a/policy/election/election_test.go
+++ b/policy/election/election_test.go
@@ -94,11 +94,13 @@
 			So(c.ObserveReply(vote(3, 4, 7), start).Votes(), ShouldEqual, 0)
 			So(c.Tick(start.Add(2*timeLimit)).Phase, ShouldEqual, Defeated)
 		})
-		Convey("once all have replied it uses the next number if votes were split, and otherwise gives up", func() {
+		Convey("once no reply is outstanding it uses the next number if votes were split or lost, and otherwise gives up", func() {
 			So(c.ObserveAllReplies(5, start).Number, ShouldEqual, 7)
 			So(c.ObserveAllReplies(7, start).Phase, ShouldEqual, Defeated)
 			split := c.ObserveReply(Reply{Number: 7, Rank: 3, Size: 4, Highest: 7}, start).ObserveAllReplies(7, start)
 			So(split.Number, ShouldEqual, 9)
+			So(c.ObserveLostReply(7).ObserveAllReplies(7, start).Number, ShouldEqual, 9)
+			So(c.ObserveLostReply(5).ObserveAllReplies(7, start).Phase, ShouldEqual, Defeated)
 		})
 		Convey("a number too high to go on from ends the candidacy", func() {
 			for _, highest := range []uint64{MaxNumber, 1<<64 - 2, 1<<64 - 1} {
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -138,6 +138,7 @@
 		}
 		state, err := a.Engine.Report(ctx)
 		if err != nil {
+			a.stopFollowingTopology()
 			continue
 		}
 		a.rank.observeEpoch(state) // A voter must have seen the epoch begin.
--- a/server/mapcontrol/rank.go
+++ b/server/mapcontrol/rank.go
@@ -104,7 +104,7 @@
 
 	mu         sync.Mutex
 	group      string                  // The rank's group, as its engine last reported; empty while unknown.
-	fence      uint64                  // The highest fencing number of a coordinator of the group.
+	fence      uint64                  // The highest fencing number of a coordinator of the group, or that the agent has voted for.
 	lastCallAt time.Time               // When a coordinator of the group last called, or when the rank joined it.
 	counts     topology.RankCounts     // Counts of the latest read, from which the next gains are computed.
 	maps       map[int64]mapswitch.Map // Maps of mapsEpoch by version, at most two: the latest prepared map and the base of its changes.
--- a/server/mapcontrol/vote.go
+++ b/server/mapcontrol/vote.go
@@ -18,6 +18,7 @@
 	"persimmonwind.dev/policy/election"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/server/logevent"
+	"persimmonwind.dev/server/rpc"
 	"persimmonwind.dev/server/wait"
 )
 
@@ -41,7 +42,7 @@
 	// without a candidacy.
 	electionTimeout = 280 * time.Millisecond
 	// maxNumbersPerCandidacy is the number of numbers that a candidacy may try: one that
-	// agents have already seen, the next one, and one after votes were split.
+	// agents have already seen, the next one, and one after votes were split or lost.
 	maxNumbersPerCandidacy = 3
 	// maxSplitVoteDelay limits the random delay after a split vote, so that two candidates
 	// don't split the next one as well. A vote of 129 ranks takes some tens of ms.
@@ -317,15 +318,19 @@
 }
 
 // askMembers asks the members for their votes for one number. It returns when all have
-// answered, the number is given up or the time limit is over. It also waits for the other
-// answers after a majority has voted, as an agent that does not know elections ends the
-// candidacy: such an agent may acquire a lease whose number is odd.
+// answered, the number is given up or the time limit is over. After a majority has voted it
+// waits for other answers until calls made at the start have timed out, as an agent that
+// does not know elections ends the candidacy: it may acquire a lease with an odd number.
 func (a *Agent) askMembers(ctx context.Context, c election.Candidate, args VoteArgs, members []Member) election.Candidate {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	results := a.callMembers(ctx, args, a.candidate.order(members))
-	for c.Phase != election.Defeated && c.Number == args.Number {
+	firstCallsEnd := time.After(voteCallTimeout)
+	isLate := false
+	for c.Phase != election.Defeated && c.Number == args.Number && !(isLate && c.Phase == election.Elected) {
 		select {
+		case <-firstCallsEnd:
+			isLate = true
 		case result, ok := <-results:
 			if !ok {
 				return c.ObserveAllReplies(args.Number, time.Now())
@@ -353,6 +358,8 @@
 	case isUnknownMethod(result.err):
 		logevent.Write(a.Log, logevent.VoterOutdated, logrus.Fields{"group": args.Group, "agent": agent})
 		return c.Withdraw()
+	case errors.Is(result.err, rpc.ErrUnreachable):
+		return c.ObserveLostReply(args.Number)
 	}
 	return c
 }
--- a/server/mapcontrol/vote_test.go
+++ b/server/mapcontrol/vote_test.go
@@ -256,6 +256,36 @@
 	})
 }
 
+func TestCandidatesThatStandAtOnce(t *testing.T) {
+	Convey("Given five agents that are candidates at the same time, again and again", t, func() {
+		g := newVotingGroup(t, 5)
+		g.open(1)
+		const rounds = 10
+		var mu sync.Mutex
+		winners := map[uint64]int{}
+		for range rounds {
+			var standing sync.WaitGroup
+			for rank := range g.agents {
+				standing.Go(func() {
+					if result := g.stand(rank, 0, 1, 2, 3, 4); result.Phase == election.Elected {
+						mu.Lock()
+						defer mu.Unlock()
+						winners[result.Number]++
+					}
+				})
+			}
+			standing.Wait()
+		}
+		Convey("some are elected, each under a number of its own", func() {
+			So(winners, ShouldNotBeEmpty)
+			for number, count := range winners {
+				So(count, ShouldEqual, 1)
+				So(election.IsProvisional(number), ShouldBeTrue)
+			}
+		})
+	})
+}
+
 // oldRank is the receiver of an agent that does not know elections.
 type oldRank struct{}
 
@@ -273,8 +303,10 @@
 		elect := func() time.Duration {
 			start := time.Now()
 			result := g.stand(0, all...)
+			after := time.Since(start)
+			t.Logf("number %d, %d votes after %v", result.Number, result.Votes(), after)
 			So(result.Phase, ShouldEqual, election.Elected)
-			return time.Since(start)
+			return after
 		}
 		// The target less the silence after which an agent becomes a candidate.
 		const target = coordinatorTarget - coordinatorTimeout
