--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -31,9 +31,6 @@
 	// step of the users' engines takes 4.8 ms of other work and 3 to 5 ms of token
 	// work, most of which is done by experts.
 	expertPassShare = 0.4
-	// minChoices is the number of observed expert choices below which a forecast of
-	// the demand for experts is noise.
-	minChoices = 2000
 )
 
 // planner forecasts the demand for experts from the ranks' counts and plans new maps
@@ -122,7 +119,7 @@
 	if state == nil || engineModel == nil || p.demand == nil || state.Phase != mapswitch.Idle || state.Current == nil {
 		return
 	}
-	if p.planConsidered || p.demand.Choices() < minChoices || time.Since(p.lastPostedAt) < planHandoverTime {
+	if p.planConsidered || p.demand.Choices() < hotexperts.MinChoices || time.Since(p.lastPostedAt) < planHandoverTime {
 		return
 	}
 	if p.recount.isRunning(time.Now()) {
