--- a/server/doccheck/doccheck_test.go
+++ b/server/doccheck/doccheck_test.go
@@ -127,6 +127,7 @@
 	quarantine.NewMetrics(registry)
 	mapMetrics := mapcontrol.NewMetrics(registry)
 	mapMetrics.CountPhase("idle")
+	mapMetrics.CountDemandCalls("none", "written")
 	families, err := registry.Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/server/logevent/deployed.go
+++ b/server/logevent/deployed.go
@@ -38,5 +38,8 @@
 	LeaseFailed            = define(412, "lease_failed", logrus.WarnLevel, "The lease of a group could not be acquired; the agent retries.")
 	LeaseRowsKept          = define(416, "lease_rows_kept", logrus.WarnLevel, "Rows of earlier acquisitions of a lease could not be removed from the store; the next holder removes them.")
 	RelayFailed            = define(415, "relay_failed", logrus.WarnLevel, "An agent did not relay a call of the coordinator; another agent of its batch does so for a while.")
+	DemandNotSaved         = define(420, "map_demand_not_saved", logrus.WarnLevel, "The forecast of a group's expert demand could not be written to the store, or is too large for a row; the next plan writes it again.")
+	DemandNotRestored      = define(421, "map_demand_not_restored", logrus.WarnLevel, "The saved forecast of a group's expert demand could not be read from the store or can't be used; the first plan waits for counts.")
+	DemandRestored         = define(422, "map_demand_restored", logrus.InfoLevel, "The first plan of a group's epoch is made from a forecast of before; the field source tells whose.")
 	LeaseSuperseded        = define(414, "lease_succeeded", logrus.InfoLevel, "A rank reports a map version of a later coordinator; this coordinator stops.")
 )
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -42,6 +42,9 @@
 	phases *prometheus.CounterVec // Phases of map changes that were entered, by phase.
 	skew   prometheus.Gauge       // Load of the most loaded rank divided by the mean load.
 	copies prometheus.Counter     // Expert copies in planned map changes.
+
+	demandReads  *prometheus.CounterVec // Reads of the saved demand, by outcome.
+	demandWrites *prometheus.CounterVec // Writes of the saved demand, by outcome.
 }
 
 // NewMetrics registers a coordinator's metrics.
@@ -59,11 +62,25 @@
 			Namespace: "persimmonwind", Name: "map_copies_total",
 			Help: "Expert copies in planned expert map changes.",
 		}),
+		demandReads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "map_demand_reads_total",
+			Help: "Reads of a group's saved expert demand, by outcome: read, none, invalid, too_old or failed.",
+		}, []string{"outcome"}),
+		demandWrites: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "persimmonwind", Name: "map_demand_writes_total",
+			Help: "Writes of a group's expert demand to the store, by outcome: written, too_large or failed.",
+		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.phases, m.skew, m.copies)
+	registry.MustRegister(m.phases, m.skew, m.copies, m.demandReads, m.demandWrites)
 	return m
 }
 
+// CountDemandCalls counts a read and a write of the saved demand.
+func (m *Metrics) CountDemandCalls(read, write string) {
+	m.demandReads.WithLabelValues(read).Inc()
+	m.demandWrites.WithLabelValues(write).Inc()
+}
+
 // CountPhase counts a phase that a map change has entered.
 func (m *Metrics) CountPhase(phase string) { m.phases.WithLabelValues(phase).Inc() }
 
