Keep late replies of calls out of the caller's variable

net/rpc decodes a reply that arrives after the caller's time limit into the variable that the caller has passed. A coordinator that then reads the engine directly, or calls the next relay, uses that variable again: the race detector reported writes by two connections to one reply. Each call now decodes into a variable of its own, which is copied when the call has succeeded.

A pool can also open its connections with a function, as over a simulated network.

Tested: TestLateReplyDoesNotChangeTheCallersVariable fails before; go test -race ./rpc.

--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +61,8 @@
 
 // Pool keeps one connection to each peer that is called, by control address.
 type Pool struct {
-	tls *tls.Config // TLS configuration of outgoing connections; nil for plain TCP.
+	tls  *tls.Config // TLS configuration of outgoing connections; nil for plain TCP.
+	open DialFunc    // Opens connections; nil for TCP.
 
 	mu      sync.Mutex
 	clients map[string]*peerClient
@@ -99,16 +101,30 @@
 	return &Pool{tls: config, clients: map[string]*peerClient{}}
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// NewPoolWithDialer returns a pool that opens connections with open, as over a simulated
+// network.
+func NewPoolWithDialer(open DialFunc) *Pool {
+	return &Pool{open: open, clients: map[string]*peerClient{}}
+}
+
 // Call calls the method at the address and waits for its reply. It fails with
-// ErrUnreachable if there is none.
+// ErrUnreachable if there is none. A reply that arrives after ctx has ended does not change
+// reply, which the caller may use for another call.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	client, err := p.client(ctx, address)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	received := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(received.Elem())
+		}
 		return p.checkReply(address, client, call.Error)
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, ctx.Err())
@@ -140,6 +156,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.open != nil {
+		return p.open(ctx, address)
+	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if p.tls == nil {
 		return dialer.DialContext(ctx, "tcp", address)
--- a/server/rpc/rpc_test.go
+++ b/server/rpc/rpc_test.go
@@ -98,3 +98,28 @@
 		})
 	})
 }
+
+func TestLateReplyDoesNotChangeTheCallersVariable(t *testing.T) {
+	Convey("Given a call that ended before its reply arrived", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = listener.Close() }()
+		logger, _ := test.NewNullLogger()
+		slow := Slow{released: make(chan struct{})}
+		go func() { _ = Serve(listener, map[string]any{"slow": slow}, logrus.NewEntry(logger)) }()
+		pool := NewPool(nil)
+		defer pool.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		var reply string
+		So(errors.Is(pool.Call(ctx, listener.Addr().String(), "slow.Say", "late", &reply), ErrUnreachable), ShouldBeTrue)
+
+		Convey("the variable belongs to the caller again", func() {
+			close(slow.released)
+			var next string
+			So(pool.Call(t.Context(), listener.Addr().String(), "slow.Say", "next", &next), ShouldBeNil)
+			time.Sleep(50 * time.Millisecond) // The late reply has arrived by now.
+			So(reply, ShouldBeEmpty)
+		})
+	})
+}
