Know the initial map of a group without reading lists

A coordinator that is told when its own engine opens, and which model the group runs, takes the initial map from the shape if no rank shows that a change has begun: a rank whose agent is away was read for its lists once a second. The first change of an epoch is held before the next pass if enough of the current one is left, and does not wait one more pass because an order was sent twice: passes with the initial map take up to three times as long.

Without the event GroupOpened nothing changes. Orders, fences and holds are as before; every version is still prepared as a whole map.

Tested: TestOneMapInEveryPass unchanged, and with ranks that report no lists while they use the initial map; 10,000 checks of each.

--- a/policy/mapswitch/group_test.go
+++ b/policy/mapswitch/group_test.go
@@ -154,8 +154,19 @@
 	return c
 }
 
+// modelKnowsInitialMap makes coordinators know the initial map, and ranks that use it and
+// show no sign of a change report no lists.
+var modelKnowsInitialMap bool
+
 // handle applies the event to the coordinator's state and collects the effects.
 func (c *modelCoordinator) handle(event reduce.Event, now time.Time) {
+	if read, ok := event.(RankRead); ok && modelKnowsInitialMap {
+		c.state.initialSets, c.state.initialExperts = 2, read.State.Size
+		if !hasBegunChange(read.State) {
+			read.Lists = topology.RankLists{}
+		}
+		event = read
+	}
 	var effects []reduce.Effect
 	c.state, effects = Step(c.state, reduce.Input{Now: now, Event: event})
 	c.pending = append(c.pending, effects...)
--- a/policy/mapswitch/hold.go
+++ b/policy/mapswitch/hold.go
@@ -67,7 +67,7 @@
 		s, orders := s.releaseHolds(heldPass, now)
 		return s, nil, orders
 	case s.lastPass() >= s.Hold.Pass || s.needsNewHoldRanks():
-		if pass, ok := s.nextHoldPass(); ok {
+		if pass, ok := s.nextHoldPass(now); ok {
 			s.Hold.Pass = pass
 		}
 		s = s.selectHoldRanks()
@@ -118,15 +118,25 @@
 // wait. ok is false while the lowest
 // pass that may be held is more than maxPassLead passes after the last one that the
 // group has begun.
-func (s State) nextHoldPass() (pass int64, ok bool) {
+func (s State) nextHoldPass(now time.Time) (pass int64, ok bool) {
 	lead := s.passTiming.lead(s.Size)
-	if s.ordersLost {
+	switch {
+	case s.replacesInitialMap():
+		lead = s.passTiming.soonestLead(s.Size, now)
+	case s.ordersLost:
 		lead = max(lead, lostOrderPassLead)
 	}
 	pass = max(s.lastPass()+lead, s.minHoldPass)
 	return pass, pass <= s.lastPass()+maxPassLead
 }
 
+// replacesInitialMap reports whether the change in progress is the first one of an epoch
+// that this coordinator has seen open. The initial map triples the duration of passes at
+// times, so that one more of them costs more than a stall of the group for a moment.
+func (s State) replacesInitialMap() bool {
+	return s.initialSets > 0 && s.Current != nil && s.CurrentVersion == 0
+}
+
 // nextHoldRanks returns the rank that is ordered to wait before the pass, and the rank
 // whose agent sends that order. If enough agents are reachable, both are on other
 // machines than the coordinator, so that the hold can be released whichever of the
--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -121,6 +121,10 @@
 	ownRank              int           // The rank on the coordinator's machine.
 	minHoldPass          int64         // The lowest pass that may be held: an order to release a lower one may still be in flight.
 
+	// initialSets and initialExperts are the numbers of expert sets and of experts in each,
+	// from which the initial map follows; 0 while unknown.
+	initialSets, initialExperts int
+
 	superseded bool // A rank has reported a version of a later lease; all input is ignored from then on.
 
 	versionsMade int64 // Number of versions created under this lease.
@@ -173,6 +177,17 @@
 
 func (OrderReturned) EventName() string { return "mapswitch.given" }
 
+// GroupOpened reports that the engine of the coordinator's own rank has begun an epoch, and
+// which model the group runs. It is not needed for a coordinator to work: without it, the
+// coordinator reads the initial map from the ranks.
+type GroupOpened struct {
+	Epoch         int64
+	Rank          int // The rank on the coordinator's machine in this epoch.
+	Sets, Experts int // Number of expert sets and of experts in each set.
+}
+
+func (GroupOpened) EventName() string { return "mapswitch.group_opened" }
+
 // Batch carries events that arrived together. Phases are entered and orders are sent
 // once, after all of them.
 type Batch struct{ Events []reduce.Event }
@@ -261,6 +276,10 @@
 		if event.Kind == topology.Hold && event.Answered && event.Rank == s.Hold.Rank && s.Hold.orderRepliedAt.IsZero() {
 			s.Hold.orderRepliedAt = now
 		}
+	case GroupOpened:
+		if event.Epoch >= s.Epoch {
+			s.ownRank, s.initialSets, s.initialExperts = event.Rank, event.Sets, event.Experts
+		}
 	case PlanReady:
 		if s.Phase == Idle && event.Epoch == s.Epoch {
 			s.NextMap = event.Map
@@ -362,9 +381,15 @@
 // allRanksRead reports whether every rank of the epoch has been read.
 func (s State) allRanksRead() bool { return s.Size > 0 && len(s.Ranks) == s.Size }
 
+// UsesInitialMap reports whether no change is in progress and the group uses the map with
+// which its epoch began.
+func (s State) UsesInitialMap() bool {
+	return s.Phase == Idle && s.Current != nil && s.CurrentVersion == 0
+}
+
 // NeedsLists reports whether the lists of the experts that the ranks hold must be
 // read along with their state.
-func (s State) NeedsLists() bool { return s.Phase == Survey }
+func (s State) NeedsLists() bool { return s.Phase == Survey && !s.showsInitialMap() }
 
 // Slowness returns the slowness factor of each rank, by which its passes take longer
 // than normal: 1 for a rank of normal speed or one that has not been read.
--- a/policy/mapswitch/phases.go
+++ b/policy/mapswitch/phases.go
@@ -19,6 +19,9 @@
 		return s.enterPhase(Arming, "a predecessor has armed a rank", now)
 	}
 	current, ok := s.currentMap()
+	if !ok {
+		current, ok = s.initialMap()
+	}
 	if !ok {
 		return s, nil
 	}
@@ -69,6 +72,36 @@
 	return current, true
 }
 
+// initialMap returns the map with which the epoch began. It reports false unless the
+// model is known and the group uses that map.
+func (s State) initialMap() (Map, bool) {
+	if !s.showsInitialMap() {
+		return nil, false
+	}
+	return InTurn(Shape{Sets: s.initialSets, Experts: s.initialExperts, Ranks: s.Size}), true
+}
+
+// showsInitialMap reports whether the initial map is known and the ranks that were read use
+// it: none reports that a change has begun, and at least one report is not from afar, where
+// reports lag. Safety does not depend on the answer, since every version is prepared as a
+// whole map.
+func (s State) showsInitialMap() bool {
+	isRecent := false
+	for _, rank := range s.Ranks {
+		if hasBegunChange(rank.State) {
+			return false
+		}
+		isRecent = isRecent || !rank.AgentUnreachable
+	}
+	return isRecent && s.initialSets > 0 && s.initialExperts > 0
+}
+
+// hasBegunChange reports whether the rank shows that a change of the epoch's initial map
+// has begun.
+func hasBegunChange(rank topology.RankState) bool {
+	return rank.MapVersion != 0 || rank.Prepared != 0 || rank.Armed != 0
+}
+
 // prepare orders all ranks to copy the experts of the next version. Once all have, it
 // selects the pass before which a rank is ordered to wait.
 func (s State) prepare(now time.Time) (State, []reduce.Effect, []reduce.Effect) {
@@ -77,7 +110,7 @@
 		return s, phaseChange, nil
 	}
 	if s.allRanks(func(r Rank) bool { return r.State.Prepared == s.Version }) {
-		pass, ok := s.nextHoldPass()
+		pass, ok := s.nextHoldPass(now)
 		if !ok || !s.allReadRecently(now) {
 			return s, nil, nil
 		}
--- a/policy/mapswitch/timing.go
+++ b/policy/mapswitch/timing.go
@@ -57,3 +57,19 @@
 	}
 	return lead
 }
+
+// soonestLead returns how many passes ahead to set a hold so that the ranks are armed, as
+// estimated, when the held pass is due: 1 if enough of the current pass is left. The
+// estimate varies, so that the group may stall for a moment.
+func (t *passTiming) soonestLead(ranks int, now time.Time) int64 {
+	remaining := t.armTime
+	if remaining == 0 {
+		remaining = time.Duration(ranks) * armTimePerRank
+	}
+	remaining -= max(0, t.passTime-now.Sub(t.passAt)) // What is left of the current pass.
+	lead := int64(passLead)
+	for ; remaining > 0 && t.passTime > 0 && lead < maxPassLead-1; remaining -= t.passTime {
+		lead++
+	}
+	return lead
+}
