--- a/server/doccheck/doccheck_test.go
+++ b/server/doccheck/doccheck_test.go
@@ -132,6 +132,7 @@
 	mapMetrics := mapcontrol.NewMetrics(registry)
 	mapMetrics.CountPhase("idle")
 	mapMetrics.CountElections("elected")
+	mapMetrics.CountDemandCalls("none", "written")
 	families, err := registry.Gather()
 	if err != nil {
 		t.Fatal(err)
