Let routes decide among organisations of one priority

An organisation's priority replaced the route's. The organisation's priority goes first now, and the route's decides among equals, in services that are scheduled by class.

--- a/policy/classes/classes.go
+++ b/policy/classes/classes.go
@@ -30,11 +30,41 @@
 			table.enabled = true
 		}
 	}
-	slices.Sort(table.priorities)
-	table.priorities = slices.Compact(table.priorities)
+	table.priorities = distinct(table.priorities)
 	return table
 }
 
+// priorityLimit bounds the priorities that Combine tells apart, so that it cannot overflow.
+const priorityLimit = 1000
+
+// Combine returns one priority for that of an organisation, which goes first, and that of a
+// route, which decides among requests whose organisations have the same.
+func Combine(organisation, route int) int {
+	clamp := func(priority int) int { return min(max(priority, 0), priorityLimit-1) }
+	return clamp(organisation)*priorityLimit + clamp(route)
+}
+
+// Combined returns the table for priorities that Combine returns, where organisations are
+// the priorities that organisations have. Requests of organisations without one have that
+// of their route in its place.
+func (t Table) Combined(organisations []int) Table {
+	combined := Table{enabled: t.enabled}
+	for _, route := range t.priorities {
+		combined.priorities = append(combined.priorities, Combine(route, route))
+		for _, organisation := range distinct(slices.Clone(organisations)) {
+			combined.priorities = append(combined.priorities, Combine(organisation, route))
+		}
+	}
+	combined.priorities = distinct(combined.priorities)
+	return combined
+}
+
+// distinct sorts priorities and removes repetitions in place.
+func distinct(priorities []int) []int {
+	slices.Sort(priorities)
+	return slices.Compact(priorities)
+}
+
 // Enabled reports whether requests of the service are scheduled by class: its routes
 // differ in priority or in latency objective.
 func (t Table) Enabled() bool { return t.enabled }
--- a/policy/classes/classes_test.go
+++ b/policy/classes/classes_test.go
@@ -61,3 +61,27 @@
 		So(NewTable([]Route{{1, time.Second}, {1, time.Minute}}).Enabled(), ShouldBeTrue)
 	})
 }
+
+// TestOrganisationsWithOnePriority guards against routes that lose their urgency because all
+// organisations have the same priority, which goes before that of the route.
+func TestOrganisationsWithOnePriority(t *testing.T) {
+	table := NewTable([]Route{{Priority: 0}, {Priority: 1}, {Priority: 2}}).Combined([]int{1, 1, 0})
+	Convey("The organisation's priority decides first, then the route's", t, func() {
+		So(table.Enabled(), ShouldBeTrue)
+		previous := -1
+		for _, organisation := range []int{0, 1} {
+			for route := range 3 {
+				level := table.Level(Combine(organisation, route))
+				So(level, ShouldBeGreaterThan, previous)
+				previous = level
+			}
+		}
+	})
+	Convey("A request of an organisation without a priority has its route's in its place", t, func() {
+		So(table.Level(Combine(1, 1)), ShouldBeLessThan, table.Level(Combine(2, 2)))
+	})
+	Convey("Huge and negative priorities gain nothing beyond the first and last level", t, func() {
+		So(table.Level(Combine(-5, -5)), ShouldEqual, 0)
+		So(table.Level(Combine(1<<62, 1<<62)), ShouldEqual, table.Levels()-1)
+	})
+}
--- a/server/gateway/dispatchers.go
+++ b/server/gateway/dispatchers.go
@@ -98,9 +98,15 @@
 			routes[target.Service] = append(routes[target.Service], classes.Route{Priority: route.Priority, Objective: route.Objective})
 		}
 	}
+	var organisations []int
+	for _, organisation := range config.Organisations {
+		if organisation.HasPriority {
+			organisations = append(organisations, organisation.Priority)
+		}
+	}
 	tables := make(map[string]classes.Table, len(routes))
 	for service, ofService := range routes {
-		tables[service] = classes.NewTable(ofService)
+		tables[service] = classes.NewTable(ofService).Combined(organisations)
 	}
 	return tables
 }
@@ -115,10 +121,10 @@
 	}
 }
 
-// acquire returns the dispatcher's decision about the ticket, which is never Wait. If
+// acquire returns the dispatcher's decision about the ticket that describe returns, which is never Wait. If
 // the ticket is queued, acquire calls onWait and blocks until the ticket is decided;
 // it cancels the ticket if ctx ends before, and returns the last decision with the error.
-func (d *dispatchers) acquire(ctx context.Context, service string, ticket dispatch.Ticket, onWait func(*placement)) (*placement, error) {
+func (d *dispatchers) acquire(ctx context.Context, service string, describe func(byClass bool) dispatch.Ticket, onWait func(*placement)) (*placement, error) {
 	d.mu.Lock()
 	dispatcher := d.byService[service]
 	if dispatcher == nil {
@@ -126,6 +132,7 @@
 		return &placement{Decision: dispatch.Decision{Verdict: dispatch.Refuse, Reason: "unknown_service", RetryAfter: time.Second}}, nil
 	}
 	d.nextTicketID++
+	ticket := describe(dispatcher.byClass)
 	ticket.ID = d.nextTicketID
 	now := time.Now()
 	waiting := &waitingTicket{ticket: ticket, since: now, decided: make(chan *placement, 1)}
--- a/server/gateway/wait.go
+++ b/server/gateway/wait.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"persimmonwind.dev/platform"
+	"persimmonwind.dev/policy/classes"
 	"persimmonwind.dev/policy/dispatch"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/policy/workload"
@@ -37,7 +38,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	remove := func() {}
-	placed, err := c.gateway.dispatchers.acquire(ctx, service, c.ticket(), func(placed *placement) {
+	placed, err := c.gateway.dispatchers.acquire(ctx, service, c.ticket, func(placed *placement) {
 		remove = c.gateway.guard.Queued(request, cancel)
 		c.logDecision(placed)
 	})
@@ -55,12 +56,17 @@
 }
 
 // ticket returns the description of the request by which the dispatcher queues it and
-// assigns it to a server.
-func (c *call) ticket() dispatch.Ticket {
+// assigns it to a server. The priority of the caller's organisation goes before that of the
+// route. Where requests are scheduled by class, the route's decides among organisations of
+// the same priority.
+func (c *call) ticket(byClass bool) dispatch.Ticket {
 	priority := c.route.Priority
 	if c.organisation != nil && c.organisation.HasPriority {
 		priority = c.organisation.Priority
 	}
+	if byClass {
+		priority = classes.Combine(priority, c.route.Priority)
+	}
 	return dispatch.Ticket{
 		Arrived: c.arrivedAt, SLODeadline: c.arrivedAt.Add(c.route.Objective), Deadline: c.latestStart(),
 		Priority: priority, Avoid: c.avoidServer, FoundClosed: c.foundGroupClosed,
