Bind a provisional coordinator to its epoch before it reads ranks; delay defeated candidates

The coordinator took the epoch of its election from a field that reads of ranks raise. If the first read showed a later epoch it was bound to that one, in which its number may be another's.

If most agents have restarted in an epoch nobody can be elected in it, and every 0.5 s each of 129 agents asked all others, some 54 kB/s at each (reckoned). The delay after a defeat now doubles up to 8 s (TestCandidatesThatNobodyCanElect).

--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -131,6 +131,7 @@
 		isCoordinated := silence < heldCoordinatorTimeout
 		if isCoordinated {
 			a.stopFollowingTopology()
+			a.candidate.defeats = 0
 		}
 		isEarly := isCoordinated || time.Now().Before(notBefore)
 		if isEarly && a.rank.hasObservedEpoch() {
@@ -152,7 +153,7 @@
 		}
 		if err := a.acquireAndCoordinate(ctx, state, silence, maxSeenFence); err != nil {
 			notBefore = time.Now().Add(leaseRetryInterval)
-			a.standForElection(ctx, state.Group, err)
+			a.standForElection(ctx, state, err)
 		}
 	}
 }
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -78,6 +78,7 @@
 type coordinator struct {
 	fence        uint64 // Fencing number of the lease, or the number under which the coordinator was elected.
 	group        string
+	electedIn    *int64                      // The epoch in which the coordinator was elected; nil if it holds the lease.
 	members      func() []Member             // Returns the listed members of the service, of all its groups.
 	peers        *rpc.Pool                   // Connections to the agents.
 	directEngine func(address string) Engine // Returns the client of an engine whose agent is unreachable.
@@ -95,8 +96,7 @@
 	engineReads chan struct{} // Holds one element for each read of an engine whose agent does not answer.
 
 	nextUnknownIndex      int       // Index of the listed member at which the search for unknown members continues.
-	epoch                 int64     // The latest epoch of the known members; from the start that of the election if isProvisional.
-	isProvisional         bool      // The coordinator was elected, for one epoch.
+	epoch                 int64     // The latest epoch of the known members.
 	lastRemoteListsReadAt time.Time // When expert lists were last read directly from an engine on another machine.
 	latestPrepareOrder    GiveArgs  // The latest prepare order, with changes instead of a whole map.
 }
@@ -168,13 +168,13 @@
 func (c *coordinator) run(ctx context.Context, ownRank int) {
 	ctx, c.stop = context.WithCancel(ctx)
 	defer c.stop()
+	state := mapswitch.New(c.fence, ownRank)
+	if c.electedIn != nil {
+		state = mapswitch.NewProvisional(c.fence, ownRank, *c.electedIn)
+	}
 	c.loop = loop.New(stepCollectingOrders, newView, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
-	state := mapswitch.New(c.fence, ownRank)
-	if c.isProvisional {
-		state = mapswitch.NewProvisional(c.fence, ownRank, c.epoch)
-	}
 	// Run returns no error when its context ends.
 	_ = c.loop.Run(ctx, state, tickInterval)
 }
--- a/server/mapcontrol/vote.go
+++ b/server/mapcontrol/vote.go
@@ -51,6 +51,10 @@
 	// open a connection, and those of agents on dead machines last for voteCallTimeout: a
 	// data centre of 21 dead machines leaves eleven others.
 	maxVoteCalls = 32
+	// maxCandidacyDelay limits the delay after a defeat, which doubles with each one in an
+	// epoch. If most agents have restarted in the epoch, none can be elected, and all 129
+	// agents of a group ask all others: every 0.5 s, that would be 54 kB/s at each.
+	maxCandidacyDelay = 8 * time.Second
 	// disabledRecheckInterval is how long an agent whose service's routes don't compete
 	// does not read the configuration again to become a candidate.
 	disabledRecheckInterval = time.Minute
@@ -206,6 +210,31 @@
 	disabledAt    time.Time            // When the configuration last showed that the service's routes don't compete.
 	foreignAt     map[string]time.Time // When agents last said that their rank belongs to another group, by address.
 	isRank        map[string]bool      // Agents that have answered for this group, by address.
+	epoch         int64                // Epoch of the latest candidacy.
+	defeats       int                  // Defeats in epoch since a coordinator last called.
+	notBefore     time.Time            // When the agent may next be a candidate in epoch.
+}
+
+// recordDefeat delays the next candidacy in the epoch.
+func (c *candidate) recordDefeat(epoch int64) {
+	if epoch != c.epoch {
+		c.epoch, c.defeats = epoch, 0
+	}
+	c.notBefore = time.Now().Add(candidacyDelay(c.defeats))
+	c.defeats++
+}
+
+// candidacyDelay returns the delay after a defeat that follows the given number of others:
+// none after the first one, as an attempt to acquire the lease precedes each candidacy.
+func candidacyDelay(defeats int) time.Duration {
+	if defeats == 0 {
+		return 0
+	}
+	delay := maxCandidacyDelay
+	if defeats < 5 {
+		delay = min(delay, leaseRetryInterval<<defeats)
+	}
+	return delay*3/4 + rand.N(delay/4)
 }
 
 // followTopology follows the topology until stopFollowingTopology is called or ctx ends.
@@ -228,11 +257,14 @@
 // after an attempt to acquire the lease has failed with leaseErr, and coordinates the group
 // if it is elected. It does so only if the store could not be reached and requests of the
 // service compete.
-func (a *Agent) standForElection(ctx context.Context, group string, leaseErr error) {
+func (a *Agent) standForElection(ctx context.Context, found topology.RankState, leaseErr error) {
 	if a.CompetingClasses == nil || !isStoreUnreachable(leaseErr) || a.rank.recentlyVotedForAnother(a.InstanceName) ||
 		time.Since(a.candidate.disabledAt) < disabledRecheckInterval && !a.candidate.disabledAt.IsZero() {
 		return
 	}
+	if found.Epoch == a.candidate.epoch && time.Now().Before(a.candidate.notBefore) {
+		return
+	}
 	a.followTopology(ctx)
 	members := a.awaitMembers(ctx)
 	if len(members) == 0 {
@@ -240,7 +272,7 @@
 	}
 	// The attempt to acquire the lease may have taken seconds.
 	state, err := a.Engine.Report(ctx)
-	if err != nil || !state.Open || state.Group != group {
+	if err != nil || !state.Open || state.Group != found.Group {
 		return
 	}
 	a.rank.observeEpoch(state)
@@ -249,12 +281,14 @@
 	}
 	startedAt := time.Now()
 	result := a.collectVotes(ctx, state, members)
-	fields := logrus.Fields{"group": group, "epoch": state.Epoch, "fence": result.Number, "votes": result.Votes(), "ranks": state.Size, "after_ms": time.Since(startedAt).Milliseconds()}
+	fields := logrus.Fields{"group": state.Group, "epoch": state.Epoch, "fence": result.Number, "votes": result.Votes(), "ranks": state.Size, "after_ms": time.Since(startedAt).Milliseconds()}
 	if result.Phase != election.Elected {
+		a.candidate.recordDefeat(state.Epoch)
 		a.Metrics.elections.countCandidacy("defeated")
 		logevent.Write(a.Log, logevent.CandidateDefeated, fields)
 		return
 	}
+	a.candidate.defeats = 0
 	a.Metrics.elections.countCandidacy("elected")
 	logevent.Write(a.Log, logevent.CandidateElected, fields)
 	a.coordinateProvisionally(ctx, state, result.Number)
@@ -446,7 +480,7 @@
 		stop()
 	}()
 	c := a.newCoordinator(elected.Group, number)
-	c.isProvisional, c.epoch = true, elected.Epoch
+	c.electedIn = &elected.Epoch
 	c.run(provisionalCtx, elected.Rank)
 	stop()
 	lease := <-acquired
--- a/server/mapcontrol/vote_test.go
+++ b/server/mapcontrol/vote_test.go
@@ -286,6 +286,61 @@
 	})
 }
 
+// Guards against a provisional coordinator that takes the epoch of the first report that
+// it reads for the one in which it was elected.
+func TestCoordinatorElectedInAnEarlierEpoch(t *testing.T) {
+	Convey("A provisional coordinator whose group is already in the next epoch ends before it gives an order", t, func() {
+		g := newVotingGroup(t, 3)
+		g.open(2)
+		for range 20 {
+			c := g.agents[0].newCoordinator("g", 1)
+			electedIn := int64(1)
+			c.electedIn = &electedIn
+			ctx, cancel := context.WithTimeout(t.Context(), 3*readInterval)
+			c.run(ctx, 0)
+			So(ctx.Err(), ShouldBeNil)
+			cancel()
+		}
+		for _, engine := range g.engines {
+			So(engine.orders, ShouldEqual, 0)
+		}
+	})
+}
+
+// Guards against agents that flood each other with requests for votes while none of them
+// can be elected.
+func TestCandidatesThatNobodyCanElect(t *testing.T) {
+	Convey("Given a group whose agents have all started in the open epoch", t, func() {
+		g := newVotingGroup(t, 3)
+		g.open(1)
+		for rank := range g.agents {
+			g.restart(rank)
+		}
+		agent := g.agents[0]
+		agent.rank.lastCallAt = time.Now().Add(-time.Minute)
+		stand := func() int {
+			state, _ := g.engines[0].Report(t.Context())
+			before := agent.candidate.defeats
+			agent.standForElection(t.Context(), state, errors.New("connection reset by peer"))
+			return agent.candidate.defeats - before
+		}
+		Convey("a candidate retries once, and then after growing delays", func() {
+			So([]int{stand(), stand(), stand()}, ShouldResemble, []int{1, 1, 0})
+			for defeats := range 20 {
+				So(candidacyDelay(defeats), ShouldBeLessThanOrEqualTo, maxCandidacyDelay)
+				So(candidacyDelay(defeats+1), ShouldBeGreaterThan, candidacyDelay(defeats)/2)
+			}
+			So(candidacyDelay(20), ShouldBeGreaterThan, maxCandidacyDelay/2)
+		})
+		Convey("the next epoch elects one at once", func() {
+			So([]int{stand(), stand(), stand()}, ShouldResemble, []int{1, 1, 0})
+			g.observeAll()
+			g.open(2)
+			So(g.stand(0, 0, 1, 2).Phase, ShouldEqual, election.Elected)
+		})
+	})
+}
+
 // oldRank is the receiver of an agent that does not know elections.
 type oldRank struct{}
 
