--- a/policy/election/election.go
+++ b/policy/election/election.go
@@ -176,7 +176,8 @@
 	Highest uint64 // The highest number that the voter has seen, including that of the request if it granted its vote.
 }
 
-// ObserveReply counts a vote. A higher number in the reply ends the attempt with the
+// ObserveReply counts a vote. The reply must be to a request of this candidacy, not of an
+// earlier one of the same agent, which may have had the same number. A higher number in the reply ends the attempt with the
 // current number. Replies to requests with earlier numbers count for nothing.
 func (c Candidate) ObserveReply(reply Reply, now time.Time) Candidate {
 	c.highest = max(c.highest, reply.Highest)
--- a/server/mapcontrol/vote.go
+++ b/server/mapcontrol/vote.go
@@ -210,6 +210,7 @@
 	disabledAt    time.Time            // When the configuration last showed that the service's routes don't compete.
 	foreignAt     map[string]time.Time // When agents last said that their rank belongs to another group, by address.
 	isRank        map[string]bool      // Agents that have answered for this group, by address.
+	lastNumber    uint64               // The latest number under which the agent asked for votes; it does not use a number twice.
 	epoch         int64                // Epoch of the latest candidacy.
 	defeats       int                  // Defeats in epoch since a coordinator last called.
 	notBefore     time.Time            // When the agent may next be a candidate in epoch.
@@ -319,9 +320,11 @@
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
 	_, highest := a.rank.sinceLastCall()
+	highest = max(highest, a.candidate.lastNumber)
 	c := election.NewCandidate(state.Epoch, state.Size, highest, voteTimeLimit, maxNumbersPerCandidacy, time.Now())
 	for c.Phase == election.Asking && ctx.Err() == nil {
 		args := VoteArgs{Group: state.Group, Epoch: state.Epoch, Number: c.Number, Candidate: a.InstanceName}
+		a.candidate.lastNumber = c.Number
 		var own VoteReply
 		if err := a.rank.Vote(args, &own); err == nil {
 			c = c.ObserveReply(own.forNumber(args.Number), time.Now())
