Plan the first map of an epoch from the demand of before

For services that are scheduled by class: when the group uses the initial map of a new epoch, the planner plans at once from its own forecast of before, or from the saved one, without waiting for counts. Counts replace it. The plan is considered when the control state becomes idle instead of at the next 20 ms.

Also removed from the time between the opening and the first map: - an agent may acquire the lease while the group is closed, after 300 ms of silence plus the stagger; one that does not know the configuration reads it once; - the coordinator reads the engine beside it every 10 ms while the group is closed and reads all ranks as soon as it opens, instead of up to 100 ms later, and then at the interval of a change; - the list of servers is awaited for 10 ms at a time, not 100; - ranks of the epoch before, and servers whose engines report that the group forms, are read in each round, so that a coordinator in a large service need not search for them.

--- a/server/deployed/agent.go
+++ b/server/deployed/agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"persimmonwind.dev/platform"
+	"persimmonwind.dev/policy/classes"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/server/loadreport"
 	"persimmonwind.dev/server/logevent"
@@ -57,7 +59,7 @@
 		InstanceName: a.settings.Instance, Engine: engine, Store: a.store,
 		DirectEngine:   directEngines(),
 		FollowTopology: a.followTopology,
-		Members:        a.members, EngineModel: a.engineModel, Log: a.log, Metrics: mapcontrol.NewMetrics(a.registry),
+		Members:        a.members, EngineModel: a.engineModel, ClassAware: a.classAware, DemandStore: a.store, Log: a.log, Metrics: mapcontrol.NewMetrics(a.registry),
 	}
 	mapAgent.Prepare()
 	publisher := loadreport.NewPublisher(reports)
@@ -135,6 +137,25 @@
 	return snapshot.Service(a.settings.Service).Engine
 }
 
+// classAware reports whether the agent's service is scheduled by class, as far as the agent
+// knows the configuration.
+func (a *Agent) classAware() bool {
+	snapshot := a.snapshot()
+	return snapshot != nil && snapshot.Config != nil && classTable(snapshot.Config, a.settings.Service).Enabled()
+}
+
+// classTable returns the classes of the streaming routes that lead to the service.
+func classTable(config *topology.Configuration, service string) classes.Table {
+	var routes []classes.Route
+	for _, route := range config.Routes {
+		leadsToService := func(target topology.Target) bool { return target.Service == service }
+		if route.Kind == topology.Stream && slices.ContainsFunc(route.Targets, leadsToService) {
+			routes = append(routes, classes.Route{Priority: route.Priority, Objective: route.Objective})
+		}
+	}
+	return classes.NewTable(routes)
+}
+
 // agentAddress returns the address of the agent beside a backend server: the host of
 // the server with the port that all agents use.
 func agentAddress(server string, port int) string {
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -45,6 +45,7 @@
 
 	demandReads  *prometheus.CounterVec // Reads of the saved demand, by outcome.
 	demandWrites *prometheus.CounterVec // Writes of the saved demand, by outcome.
+	firstChange  prometheus.Histogram   // Time from a group's opening to the first map change in force.
 }
 
 // NewMetrics registers a coordinator's metrics.
@@ -71,7 +72,12 @@
 			Help: "Writes of a group's expert demand to the store, by outcome: written, too_large or failed.",
 		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.phases, m.skew, m.copies, m.demandReads, m.demandWrites)
+	m.firstChange = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "persimmonwind", Name: "map_first_change_seconds",
+		Help:    "Time from the opening of a group to its first expert map change in force, in seconds; only for services scheduled by class.",
+		Buckets: []float64{0.2, 0.3, 0.4, 0.5, 0.7, 1, 1.5, 2, 5},
+	})
+	registry.MustRegister(m.phases, m.skew, m.copies, m.demandReads, m.demandWrites, m.firstChange)
 	return m
 }
 
@@ -96,9 +102,14 @@
 	FollowTopology func(ctx context.Context)
 	Members        func() []Member         // Returns the members of the service, including those that are leaving.
 	EngineModel    func() *topology.Engine // Returns the cost model of the service's engines, nil while it is unknown.
+	ClassAware     func() bool             // Returns whether the service is scheduled by class, as far as known; nil for never.
+	DemandStore    DemandStore             // Where the group's demand is saved; nil for nowhere.
 	Log            *logrus.Entry
 	Metrics        *Metrics
 
+	stopFollowing        context.CancelFunc // Ends FollowTopology; nil while it is not running.
+	configurationTriedAt time.Time          // When the configuration was last read in vain, or found, while the group was closed.
+
 	rank  *Rank
 	relay *Relay
 	peers *rpc.Pool
@@ -137,7 +148,7 @@
 			continue
 		}
 		state, err := a.Engine.Report(ctx)
-		if err != nil || !state.Open || state.Group == "" {
+		if err != nil || state.Group == "" || !state.Open && !a.mayCoordinateClosed(ctx, state) {
 			continue
 		}
 		a.rank.observeGroup(state)
@@ -157,6 +168,9 @@
 	if state.HeldPass != 0 {
 		return heldCoordinatorTimeout
 	}
+	if !state.Open {
+		return closedCoordinatorTimeout + time.Duration(state.Rank)*rankStagger
+	}
 	return coordinatorTimeout + time.Duration(state.Rank)*rankStagger
 }
 
@@ -196,8 +210,7 @@
 // called an agent.
 func (a *Agent) coordinate(ctx context.Context, state topology.RankState, fence uint64) {
 	c := a.newCoordinator(state.Group, fence)
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	go a.FollowTopology(ctx)
+	a.startFollowing(ctx)
+	defer a.endFollowing()
 	c.run(ctx, state.Rank)
 }
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -86,9 +86,14 @@
 	planner      *planner
 	stop         context.CancelFunc
 	metrics      *Metrics
+	ownEngine    Engine
+	classAware   func() bool
+	demand       *demandKeeper
+	opening      opening
 
 	mu                sync.Mutex
 	membersByRank     map[int]Member       // Members of the group in the current epoch, by rank.
+	likelyMembers     map[string]Member    // Members that were ranks before the group closed, or have reported that it forms, by server.
 	foreignReportedAt map[string]time.Time // When members last reported another group, by server.
 	relayFailedAt     map[string]time.Time // When agents last failed as relays, by address.
 
@@ -113,6 +118,7 @@
 	Epoch         int64
 	Size          int           // Number of ranks in the group.
 	Current       mapswitch.Map // The map in use; nil while it is unknown.
+	IsInitial     bool          // No change is in progress, and the map in use is that with which the epoch began.
 	IdleSince     time.Time     // When the last change ended, if none is in progress.
 	IsRelayed     bool          // The ranks are read in batches, through relays.
 	HoldRanks     [2]int        // The ranks that take part in the next hold, besides the coordinator's.
@@ -126,7 +132,7 @@
 func newView(s mapswitch.State) view {
 	holder, sender := s.HoldRanks()
 	return view{
-		Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IdleSince: s.PhaseStartedAt,
+		Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IsInitial: s.UsesInitialMap(), IdleSince: s.PhaseStartedAt,
 		IsRelayed: usesRelays(s.Size), HoldRanks: [2]int{holder, sender}, MustReadLists: s.NeedsLists(),
 		Slowness: s.Slowness(), Requests: s.Requests(),
 	}
@@ -155,10 +161,13 @@
 // newCoordinator returns a coordinator of the group that the agent has acquired the
 // lease of.
 func (a *Agent) newCoordinator(group string, fence uint64) *coordinator {
+	demand := newDemandKeeper(a.DemandStore, group, a.Log, a.Metrics)
+	planner := newPlanner(a.EngineModel, group, a.Log, a.Metrics)
+	planner.classAware, planner.saved = a.isClassAware, demand
 	return &coordinator{
 		fence: fence, group: group, members: a.Members, peers: a.peers, directEngine: a.DirectEngine, log: a.Log,
-		planner: newPlanner(a.EngineModel, group, a.Log, a.Metrics), metrics: a.Metrics,
-		membersByRank: map[int]Member{}, foreignReportedAt: map[string]time.Time{}, relayFailedAt: map[string]time.Time{},
+		planner: planner, metrics: a.Metrics, ownEngine: a.Engine, classAware: a.isClassAware, demand: demand,
+		membersByRank: map[int]Member{}, likelyMembers: map[string]Member{}, foreignReportedAt: map[string]time.Time{}, relayFailedAt: map[string]time.Time{},
 		engineReads: make(chan struct{}, maxEngineReads),
 	}
 }
@@ -170,6 +179,7 @@
 	c.loop = loop.New(stepCollectingOrders, newView, func(effect reduce.Effect) { c.execute(ctx, effect) }, nil)
 	go c.readAll(ctx)
 	go c.planner.run(ctx, c.loop)
+	go c.demand.run(ctx, c.awaitClassAware)
 	// Run returns no error when its context ends.
 	_ = c.loop.Run(ctx, mapswitch.New(c.fence, ownRank), tickInterval)
 }
@@ -190,6 +200,7 @@
 		logevent.Write(c.log, logevent.LeaseSuperseded, logrus.Fields{"group": c.group, "fence": c.fence, "version": effect.Version})
 		c.stop()
 	case mapswitch.PhaseChanged:
+		c.observePhase(effect)
 		c.metrics.CountPhase(effect.To.String())
 		logevent.Write(c.log, logevent.MapPhaseEntered, logrus.Fields{
 			"group": c.group, "epoch": effect.Epoch, "version": effect.Version, "pass": effect.Pass,
--- a/server/mapcontrol/demand.go
+++ b/server/mapcontrol/demand.go
@@ -109,6 +109,9 @@
 // run reads the saved demand and saves offered ones until ctx ends. It reads nothing if
 // mustRead, which may wait until that is known, returns false.
 func (k *demandKeeper) run(ctx context.Context, mustRead func(context.Context) bool) {
+	if k.store == nil {
+		return
+	}
 	if mustRead(ctx) {
 		k.readWithRetries(ctx)
 	}
--- a/server/mapcontrol/members.go
+++ b/server/mapcontrol/members.go
@@ -22,6 +22,12 @@
 		ranks[member.Server] = true
 		members = append(members, member)
 	}
+	for _, server := range slices.Sorted(maps.Keys(c.likelyMembers)) {
+		if !ranks[server] {
+			ranks[server] = true
+			members = append(members, c.likelyMembers[server])
+		}
+	}
 	ttl := foreignMemberTTL
 	if len(c.membersByRank) < size {
 		ttl = foreignMemberTTLWhileSearching
@@ -61,21 +67,39 @@
 	if c.isForeign(state) {
 		c.markForeign(member)
 	}
-	if state.Group != c.group || !state.Open {
+	if state.Group != c.group {
 		return false
 	}
+	c.opening.observe(state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !state.Open {
+		c.markLikely(member)
+		return false
+	}
 	if state.Epoch > c.epoch {
 		c.epoch = state.Epoch
+		for _, former := range c.membersByRank {
+			c.markLikely(former)
+		}
 		c.membersByRank = map[int]Member{}
 	}
+	delete(c.likelyMembers, member.Server)
 	if state.Epoch == c.epoch {
 		c.membersByRank[state.Rank] = member
 	}
 	return true
 }
 
+// markLikely makes the member be read in each round until it is a rank or reports another
+// group, so that a coordinator in a large service need not search for the ranks of a new
+// epoch. c.mu must be held.
+func (c *coordinator) markLikely(member Member) {
+	if c.classAware() {
+		c.likelyMembers[member.Server] = member
+	}
+}
+
 // isForeign reports whether the rank belongs to another group.
 func (c *coordinator) isForeign(state topology.RankState) bool {
 	return state.Group != "" && state.Group != c.group
@@ -86,6 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.foreignReportedAt[member.Server] = time.Now()
+	delete(c.likelyMembers, member.Server)
 }
 
 // member returns the member with the rank, and false if it is unknown.
--- a/server/mapcontrol/planner.go
+++ b/server/mapcontrol/planner.go
@@ -48,6 +48,11 @@
 	lastPostedAt   time.Time          // When the latest plan was posted to the control loop.
 	planConsidered bool               // A plan was considered for the current forecast.
 	recounted      time.Time          // When the forecast was last made from a recount; zero if it is not.
+
+	classAware func() bool   // Returns whether the service is scheduled by class; the fields below are used only if so.
+	saved      *demandKeeper // Saves the demand for later coordinators.
+	woken      chan struct{} // Holds an element if a plan is to be considered without waiting for planInterval.
+	firstPlan  firstPlan
 }
 
 // countGains is the increase of the expert counts of one or more ranks.
@@ -58,7 +63,7 @@
 
 func newPlanner(engineModel func() *topology.Engine, group string, log *logrus.Entry, metrics *Metrics) *planner {
 	const queued = 256 // Gains of a few rounds of reads in a large group.
-	return &planner{engineModel: engineModel, group: group, log: log, gains: make(chan countGains, queued), recount: &recount{}, metrics: metrics}
+	return &planner{engineModel: engineModel, group: group, log: log, gains: make(chan countGains, queued), recount: &recount{}, metrics: metrics, woken: make(chan struct{}, 1)}
 }
 
 // enqueue passes the gains of one or more ranks to the planner. It drops them if the
@@ -80,6 +85,8 @@
 			p.applyGains(gains)
 		case <-ticker.C:
 			p.plan(control)
+		case <-p.woken:
+			p.plan(control)
 		case <-ctx.Done():
 			return
 		}
@@ -116,13 +123,17 @@
 func (p *planner) plan(control *loop.Loop[mapswitch.State, view]) {
 	state := control.View()
 	engineModel := p.engineModel()
+	mustPlan := false
+	if state != nil && engineModel != nil && p.classAware() {
+		mustPlan = p.restoreDemand(*state, engineModel)
+	}
 	if state == nil || engineModel == nil || p.demand == nil || state.Phase != mapswitch.Idle || state.Current == nil {
 		return
 	}
-	if p.planConsidered || p.demand.Choices() < hotexperts.MinChoices || time.Since(p.lastPostedAt) < planHandoverTime {
+	if time.Since(p.lastPostedAt) < planHandoverTime {
 		return
 	}
-	if p.recount.isRunning(time.Now()) {
+	if !mustPlan && (p.planConsidered || p.demand.Choices() < hotexperts.MinChoices || p.recount.isRunning(time.Now())) {
 		return
 	}
 	p.planConsidered = true
@@ -130,12 +141,15 @@
 		Ranks: state.Size, Places: engineModel.Places, Experts: engineModel.Experts, NewPerSet: engineModel.NewPerSet,
 		CopyTime: engineModel.CopyTime(), Slowness: state.Slowness,
 	}
+	if p.classAware() {
+		p.firstPlan.considered(state.Epoch, p.demand)
+	}
 	plan := hotexperts.DecideLeastAverageSkew(shape, state.Current, p.demand.Load(), copyBudget(engineModel))
 	p.metrics.skew.Set(plan.SkewBefore)
 	if !plan.IsWorthwhile(hotexperts.Costs{CopyTime: engineModel.CopyTime(), ExpertTimeShare: expertPassShare, Occupancy: state.slotUtilization(engineModel)}) {
 		return
 	}
-	if state.IsRelayed && time.Since(state.IdleSince) > settledTime && time.Since(p.recounted) > recountMaxAge {
+	if !mustPlan && state.IsRelayed && time.Since(state.IdleSince) > settledTime && time.Since(p.recounted) > recountMaxAge {
 		// The map has fitted the demand, which has just jumped: the counts of most ranks
 		// are still from before.
 		p.recount.start(time.Now())
@@ -148,6 +162,9 @@
 		"skew_before": plan.SkewBefore, "skew_after": plan.SkewAfter, "slowest": slices.Max(state.Slowness), "choices": p.demand.Choices(),
 	})
 	control.Post(mapswitch.PlanReady{Epoch: state.Epoch, Map: plan.Map})
+	if p.classAware() {
+		p.saved.offer(p.firstPlan.latest, state.Epoch)
+	}
 }
 
 // copyBudget returns the number of experts that one change may copy to a rank.
--- a/server/mapcontrol/reads.go
+++ b/server/mapcontrol/reads.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"persimmonwind.dev/policy/mapswitch"
-	"persimmonwind.dev/server/wait"
 )
 
 // readAll reads all ranks of the group, and members whose group is unknown, at each
@@ -18,10 +17,11 @@
 		if lastView := c.loop.View(); lastView != nil {
 			current = *lastView
 		}
+		skipsLists := c.checkOpening(ctx, current)
 		members := c.membersToRead(current.Size)
 		round := c.newReadRound(members)
 		interval := readInterval
-		if current.Phase != mapswitch.Idle && current.Phase != mapswitch.Survey {
+		if current.Phase != mapswitch.Idle && (current.Phase != mapswitch.Survey || c.opening.isOpen()) {
 			interval = min(interval, round.changeInterval)
 		}
 		countsDue := time.Since(lastCountsReadAt) >= readInterval-interval/2 && !current.needsLinkForOrders()
@@ -35,12 +35,15 @@
 		calls := len(round.calls)
 		for i, call := range round.calls {
 			readCounts := recountAll || countsDue && (i+calls-firstCounted%calls)%calls < round.countedCalls
-			go call(ctx, readOptions{lists: current.MustReadLists, counts: readCounts, recount: recountNumber})
+			go call(ctx, readOptions{lists: current.MustReadLists && !skipsLists, counts: readCounts, recount: recountNumber})
 		}
 		if countsDue && !recountAll && calls > 0 {
 			firstCounted = (firstCounted + round.countedCalls) % calls
 		}
-		wait.For(ctx, interval)
+		if len(members) == 0 && c.classAware() {
+			interval = openCheckInterval // The list of servers is being read.
+		}
+		c.waitForRound(ctx, interval)
 	}
 }
 
@@ -89,7 +92,7 @@
 	if err := c.call(ctx, member.Agent, methodRead, args, &reply); err != nil {
 		// A new coordinator must read every rank before it knows the ranks, including
 		// one whose agent is unreachable: the group may pause until it has.
-		if c.stopIfFenced(err) || !readLists && !c.isRank(member) {
+		if c.stopIfFenced(err) || !readLists && !c.isSurveying() && !c.isRank(member) {
 			return
 		}
 		// Reading counts or lists from another machine makes the group pause, so counts
