--- a/server/mapcontrol/return_test.go
+++ b/server/mapcontrol/return_test.go
@@ -438,3 +438,47 @@
 		}
 	})
 }
+
+func TestRanksOfANewEpochAreNotSearchedFor(t *testing.T) {
+	var members []Member
+	for i := range 1900 {
+		members = append(members, Member{Server: fmt.Sprint("server-", i), Agent: fmt.Sprint("agent-", i)})
+	}
+	agent := &Agent{
+		Members: func() []Member { return members }, EngineModel: func() *topology.Engine { return nil },
+		ClassAware: func() bool { return true }, Log: logrus.NewEntry(logrus.New()), peers: rpc.NewPool(nil),
+	}
+	report := func(c *coordinator, number int, open bool, epoch int64) {
+		c.recordMember(members[number], topology.RankState{Group: fmt.Sprint("g-", number/64), Open: open, Epoch: epoch, Rank: number % 64, Size: 64})
+	}
+	readsAllRanks := func(c *coordinator) bool {
+		read := map[string]bool{}
+		for _, member := range c.membersToRead(64) {
+			read[member.Server] = true
+		}
+		for number := 20 * 64; number < 21*64; number++ {
+			if !read[members[number].Server] {
+				return false
+			}
+		}
+		return true
+	}
+	outlives := agent.newCoordinator("g-20", 1)
+	starts := agent.newCoordinator("g-20", 2)
+	for number := range members {
+		report(outlives, number, true, 1)
+		report(starts, number, false, 1)
+	}
+	report(outlives, 20*64+7, true, 2) // The first rank of the next epoch.
+	if len(outlives.membersByRank) != 1 || !readsAllRanks(outlives) {
+		t.Error("a coordinator that outlives its epoch searches for the ranks of the next one")
+	}
+	if !readsAllRanks(starts) {
+		t.Error("a coordinator that began while the group was closed does not read the servers that reported so")
+	}
+	report(starts, 20*64+7, true, 2)
+	starts.recordMember(members[20*64+8], topology.RankState{Group: "g-5", Open: true, Epoch: 1, Size: 64})
+	if len(starts.likelyMembers) != 62 {
+		t.Errorf("%d likely members", len(starts.likelyMembers))
+	}
+}
