--- a/server/mapcontrol/return_test.go
+++ b/server/mapcontrol/return_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -55,7 +56,8 @@
 	log     *safeBuffer
 
 	open    atomic.Bool
-	counted []int64   // Choices of the passes that have ended.
+	counted []int64   // Choices of all passes, including the current one.
+	shown   []int64   // Counters of each rank: choices of the passes that have ended.
 	wobble  int64     // Choices that an expert gains at most for a third of a second.
 	chosen  [][]int64 // How often a rank's requests choose each expert in a pass, by expert set and expert.
 	network *simulatedNetwork
@@ -81,7 +83,8 @@
 	counts, err := e.modelEngine.Counts(ctx)
 	e.modelEngine.group.mu.Lock()
 	defer e.modelEngine.group.mu.Unlock()
-	counts.Epoch = e.modelEngine.group.states[e.rank].Epoch
+	// The model's own counts have the demand of other tests.
+	counts.Epoch, counts.Counts = e.modelEngine.group.states[e.rank].Epoch, slices.Clone(e.group.shown)
 	return counts, err
 }
 
@@ -115,7 +118,7 @@
 	model := deployments[deployment].model
 	g := &returningGroup{t: t, model: model, engines: newModelEngines(deployments[deployment].ranks, model), lease: newLeaseStore(), demand: newDemandStore(), log: &safeBuffer{}, aware: aware, pass: pass, network: &simulatedNetwork{listeners: map[string]*simulatedListener{}}}
 	g.drawDemand(0)
-	g.counted = make([]int64, len(g.engines.counts))
+	g.shown, g.counted = make([]int64, len(g.engines.counts)), make([]int64, len(g.engines.counts))
 	return g
 }
 
@@ -199,8 +202,7 @@
 	g.engines.beginPass(random)
 	g.engines.mu.Lock()
 	defer g.engines.mu.Unlock()
-	// beginPass has added the demand of other tests. A pass is counted when it ends.
-	copy(g.engines.counts, g.counted)
+	copy(g.shown, g.counted) // A pass is counted when it ends.
 	for i, chosen := range g.countsAfter(1) {
 		g.counted[i] += chosen
 		if g.wobble > 0 {
@@ -261,7 +263,7 @@
 		g.engines.maps[rank] = nil
 	}
 	g.engines.pass = 0
-	clear(g.engines.counts)
+	clear(g.shown)
 	clear(g.counted)
 }
 
