--- a/server/deployed/agent.go
+++ b/server/deployed/agent.go
@@ -59,7 +59,7 @@
 		InstanceName: a.settings.Instance, Engine: engine, Store: a.store,
 		DirectEngine:   directEngines(),
 		FollowTopology: a.followTopology,
-		Members:        a.members, EngineModel: a.engineModel, CompetingClasses: a.competingClasses,
+		Members:        a.members, EngineModel: a.engineModel, ClassAware: a.classAware, DemandStore: a.store,
 		Log: a.log, Metrics: mapcontrol.NewMetrics(a.registry),
 	}
 	mapAgent.Prepare()
@@ -138,22 +138,19 @@
 	return snapshot.Service(a.settings.Service).Engine
 }
 
-// competingClasses returns whether the streaming routes of the agent's service differ in
-// priority or objective. It returns false while the configuration is unknown.
-func (a *Agent) competingClasses() bool {
+// classAware reports whether the agent's service is scheduled by class, as far as the agent
+// knows the configuration.
+func (a *Agent) classAware() bool {
 	snapshot := a.snapshot()
-	if snapshot == nil || snapshot.Config == nil {
-		return false
-	}
-	return classTable(snapshot.Config, a.settings.Service).Enabled()
+	return snapshot != nil && snapshot.Config != nil && classTable(snapshot.Config, a.settings.Service).Enabled()
 }
 
-// classTable returns the table of the streaming routes that lead to the service.
+// classTable returns the classes of the streaming routes that lead to the service.
 func classTable(config *topology.Configuration, service string) classes.Table {
 	var routes []classes.Route
 	for _, route := range config.Routes {
-		leadsToService := slices.ContainsFunc(route.Targets, func(t topology.Target) bool { return t.Service == service })
-		if route.Kind == topology.Stream && leadsToService {
+		leadsToService := func(target topology.Target) bool { return target.Service == service }
+		if route.Kind == topology.Stream && slices.ContainsFunc(route.Targets, leadsToService) {
 			routes = append(routes, classes.Route{Priority: route.Priority, Objective: route.Objective})
 		}
 	}
--- a/server/mapcontrol/agent.go
+++ b/server/mapcontrol/agent.go
@@ -46,6 +46,7 @@
 	elections    electionMetrics
 	demandReads  *prometheus.CounterVec // Reads of the saved demand, by outcome.
 	demandWrites *prometheus.CounterVec // Writes of the saved demand, by outcome.
+	firstChange  prometheus.Histogram   // Time from a group's opening to the first map change in force.
 }
 
 // NewMetrics registers a coordinator's metrics.
@@ -72,7 +73,12 @@
 			Help: "Writes of a group's expert demand to the store, by outcome: written, too_large or failed.",
 		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.phases, m.skew, m.copies, m.demandReads, m.demandWrites)
+	m.firstChange = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "persimmonwind", Name: "map_first_change_seconds",
+		Help:    "Time from the opening of a group to its first expert map change in force, in seconds; only for services scheduled by class.",
+		Buckets: []float64{0.2, 0.3, 0.4, 0.5, 0.7, 1, 1.5, 2, 5},
+	})
+	registry.MustRegister(m.phases, m.skew, m.copies, m.demandReads, m.demandWrites, m.firstChange)
 	m.elections = newElectionMetrics(registry)
 	return m
 }
@@ -93,18 +99,23 @@
 	Engine       Engine
 	DirectEngine func(address string) Engine // Client of a rank's engine, for ranks whose agent is unreachable.
 	Store        Store
-	// FollowTopology keeps Members, EngineModel and CompetingClasses up to date until ctx
+	// FollowTopology keeps Members, EngineModel and ClassAware up to date until ctx
 	// ends. Only a coordinator or a candidate needs them, and calls to the store are
 	// charged for.
 	FollowTopology func(ctx context.Context)
 	Members        func() []Member         // Returns the members of the service, including those that are leaving.
 	EngineModel    func() *topology.Engine // Returns the cost model of the service's engines, nil while it is unknown.
-	// CompetingClasses returns whether the service's streaming routes differ in priority or
-	// objective, false while that is unknown. Only then, agents elect a provisional
-	// coordinator while the lease can't be acquired. If it is nil, they never do.
-	CompetingClasses func() bool
-	Log              *logrus.Entry
-	Metrics          *Metrics
+	// ClassAware returns whether the service is scheduled by class, that is, whether its
+	// streaming routes differ in priority or objective; false while that is unknown. Only
+	// then, the group's demand is saved and agents elect a provisional coordinator while the
+	// lease can't be acquired. If it is nil, they never do.
+	ClassAware  func() bool
+	DemandStore DemandStore // Where the group's demand is saved; nil for nowhere.
+	Log         *logrus.Entry
+	Metrics     *Metrics
+
+	stopFollowing        context.CancelFunc // Ends FollowTopology; nil while it is not running.
+	configurationTriedAt time.Time          // When the configuration was last read in vain, or found, while the group was closed.
 
 	rank      *Rank
 	relay     *Relay
@@ -130,7 +141,7 @@
 // until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
 	defer a.peers.Close()
-	defer a.stopFollowingTopology()
+	defer a.endFollowing()
 	ticker := time.NewTicker(coordinatorCheckInterval)
 	defer ticker.Stop()
 	var notBefore time.Time
@@ -146,7 +157,7 @@
 		silence, _ := a.rank.sinceLastCall()
 		isCoordinated := silence < heldCoordinatorTimeout
 		if isCoordinated {
-			a.stopFollowingTopology()
+			a.endFollowing()
 			a.candidate.defeats = 0
 		}
 		isEarly := isCoordinated || time.Now().Before(notBefore)
@@ -155,11 +166,11 @@
 		}
 		state, err := a.Engine.Report(ctx)
 		if err != nil {
-			a.stopFollowingTopology()
+			a.endFollowing()
 			continue
 		}
 		a.rank.observeEpoch(state) // A voter must have seen the epoch begin.
-		if isEarly || !state.Open || state.Group == "" {
+		if isEarly || state.Group == "" || !state.Open && !a.mayCoordinateClosed(ctx, state) {
 			continue
 		}
 		a.rank.observeGroup(state)
@@ -180,6 +191,9 @@
 	if state.HeldPass != 0 {
 		return heldCoordinatorTimeout
 	}
+	if !state.Open {
+		return closedCoordinatorTimeout + time.Duration(state.Rank)*rankStagger
+	}
 	return coordinatorTimeout + time.Duration(state.Rank)*rankStagger
 }
 
@@ -220,7 +234,8 @@
 // coordinate changes the group's expert map until ctx ends or a newer coordinator has
 // called an agent.
 func (a *Agent) coordinate(ctx context.Context, state topology.RankState, fence uint64) {
-	a.followTopology(ctx)
-	defer a.stopFollowingTopology()
-	a.newCoordinator(state.Group, fence).run(ctx, state.Rank)
+	c := a.newCoordinator(state.Group, fence)
+	a.startFollowing(ctx)
+	defer a.endFollowing()
+	c.run(ctx, state.Rank)
 }
--- a/server/mapcontrol/vote.go
+++ b/server/mapcontrol/vote.go
@@ -206,14 +206,13 @@
 // candidate is the part of an agent's state that its candidacies use. Only the goroutine
 // of Agent.Run uses it.
 type candidate struct {
-	stopFollowing context.CancelFunc   // Ends following the topology; nil while it is not followed.
-	disabledAt    time.Time            // When the configuration last showed that the service's routes don't compete.
-	foreignAt     map[string]time.Time // When agents last said that their rank belongs to another group, by address.
-	isRank        map[string]bool      // Agents that have answered for this group, by address.
-	lastNumber    uint64               // The latest number under which the agent asked for votes; it does not use a number twice.
-	epoch         int64                // Epoch of the latest candidacy.
-	defeats       int                  // Defeats in epoch since a coordinator last called.
-	notBefore     time.Time            // When the agent may next be a candidate in epoch.
+	disabledAt time.Time            // When the configuration last showed that the service's routes don't compete.
+	foreignAt  map[string]time.Time // When agents last said that their rank belongs to another group, by address.
+	isRank     map[string]bool      // Agents that have answered for this group, by address.
+	lastNumber uint64               // The latest number under which the agent asked for votes; it does not use a number twice.
+	epoch      int64                // Epoch of the latest candidacy.
+	defeats    int                  // Defeats in epoch since a coordinator last called.
+	notBefore  time.Time            // When the agent may next be a candidate in epoch.
 }
 
 // recordDefeat delays the next candidacy in the epoch.
@@ -238,35 +237,19 @@
 	return delay*3/4 + rand.N(delay/4)
 }
 
-// followTopology follows the topology until stopFollowingTopology is called or ctx ends.
-func (a *Agent) followTopology(ctx context.Context) {
-	if a.candidate.stopFollowing != nil {
-		return
-	}
-	ctx, a.candidate.stopFollowing = context.WithCancel(ctx)
-	go a.FollowTopology(ctx)
-}
-
-func (a *Agent) stopFollowingTopology() {
-	if a.candidate.stopFollowing != nil {
-		a.candidate.stopFollowing()
-		a.candidate.stopFollowing = nil
-	}
-}
-
 // standForElection makes the agent a candidate for provisional coordinator of its group,
 // after an attempt to acquire the lease has failed with leaseErr, and coordinates the group
 // if it is elected. It does so only if the store could not be reached and requests of the
 // service compete.
 func (a *Agent) standForElection(ctx context.Context, found topology.RankState, leaseErr error) {
-	if a.CompetingClasses == nil || !isStoreUnreachable(leaseErr) || a.rank.recentlyVotedForAnother(a.InstanceName) ||
+	if a.ClassAware == nil || !isStoreUnreachable(leaseErr) || a.rank.recentlyVotedForAnother(a.InstanceName) ||
 		time.Since(a.candidate.disabledAt) < disabledRecheckInterval && !a.candidate.disabledAt.IsZero() {
 		return
 	}
 	if found.Epoch == a.candidate.epoch && time.Now().Before(a.candidate.notBefore) {
 		return
 	}
-	a.followTopology(ctx)
+	a.startFollowing(ctx)
 	members := a.awaitMembers(ctx)
 	if len(members) == 0 {
 		return
@@ -303,9 +286,9 @@
 	for ctx.Err() == nil {
 		members, isConfigured := a.Members(), a.EngineModel() != nil
 		switch {
-		case isConfigured && !a.CompetingClasses():
+		case isConfigured && !a.ClassAware():
 			a.candidate.disabledAt = time.Now()
-			a.stopFollowingTopology()
+			a.endFollowing()
 			return nil
 		case isConfigured && len(members) > 0:
 			return members
--- a/server/mapcontrol/vote_test.go
+++ b/server/mapcontrol/vote_test.go
@@ -101,12 +101,12 @@
 	log.SetOutput(io.Discard)
 	agent := &Agent{
 		InstanceName: fmt.Sprint("agent-", rank), Engine: g.engines[rank], Store: g.store,
-		DirectEngine:     func(string) Engine { return g.engines[rank] },
-		FollowTopology:   func(ctx context.Context) { g.following.Add(1); <-ctx.Done(); g.following.Add(-1) },
-		Members:          func() []Member { return g.members },
-		EngineModel:      func() *topology.Engine { return &topology.Engine{} },
-		CompetingClasses: g.competing.Load,
-		Log:              logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
+		DirectEngine:   func(string) Engine { return g.engines[rank] },
+		FollowTopology: func(ctx context.Context) { g.following.Add(1); <-ctx.Done(); g.following.Add(-1) },
+		Members:        func() []Member { return g.members },
+		EngineModel:    func() *topology.Engine { return &topology.Engine{} },
+		ClassAware:     g.competing.Load,
+		Log:            logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
 	agent.Prepare()
 	stoppable := &stoppableListener{Listener: listener}
