Hold one reported slot in the gateway's tests of classes

The engine now has one slot and reports its load, and a test that waits for the engine gives up after 2 s. No bound changes.

--- a/server/gateway/class_load_test.go
+++ b/server/gateway/class_load_test.go
@@ -18,10 +18,6 @@
 	"persimmonwind.dev/server/logevent"
 )
 
-// engineSlots is the number of requests that an entry sends to an engine whose load is
-// not reported.
-const engineSlots = 3
-
 // heldBackend is an engine that begins to answer a request only when the test lets it.
 type heldBackend struct {
 	*backend
@@ -52,21 +48,48 @@
 	}
 }
 
+// answerOne lets one request be answered.
+func (b *heldBackend) answerOne() {
+	select {
+	case b.proceed <- struct{}{}:
+	case <-time.After(2 * time.Second):
+		So("no request is at the engine", ShouldBeEmpty)
+	}
+}
+
+// reportOneSlot makes the engine an idle one with one slot, whose agent reports its load until
+// the returned function is called.
+func (s *system) reportOneSlot(engine *backend) (stop func()) {
+	report := func() {
+		s.gateway.ReportLoad(loadreport.Report{Server: engine.listener.Addr().String(), Open: true, Group: "g", Entries: 1, Pace: 1})
+	}
+	report()
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+			report()
+		}
+	}()
+	return stop
+}
+
 // holding is a system whose engine has no free slot.
 type holding struct {
 	*system
-	engine  *heldBackend
-	callers sync.WaitGroup
+	engine      *heldBackend
+	callers     sync.WaitGroup
+	stopReports func()
 }
 
-// newHolding returns a system whose engine holds engineSlots drafts.
+// newHolding returns a system whose engine has one slot and holds a draft.
 func newHolding() *holding {
 	engine := newHeldBackend()
+	engine.slots = 1
 	h := &holding{system: newSystemWithConfig(classConfiguration(), engine.backend), engine: engine}
-	for range engineSlots {
-		h.start("/drafts/held", nil)
-		So(engine.nextArrival(), ShouldEqual, "/drafts/held")
-	}
+	h.stopReports = h.reportOneSlot(engine.backend)
+	h.start("/drafts/held", nil)
+	So(engine.nextArrival(), ShouldEqual, "/drafts/held")
 	return h
 }
 
@@ -87,8 +110,10 @@
 	return count
 }
 
-// end lets all requests be answered and stops the system.
+// end lets all requests be answered and stops the system. It is deferred, as a failed
+// assertion ends the test.
 func (h *holding) end() {
+	h.stopReports()
 	close(h.engine.proceed)
 	h.callers.Wait()
 	h.close(h.engine.backend)
@@ -213,7 +238,7 @@
 			h.startWaiting("/digests/invented", func(r *http.Request) { r.Header.Set(c.name, c.value) })
 			h.startWaiting("/summaries/honest", nil)
 			for _, want := range []string{"/summaries/honest", "/digests/honest", "/digests/invented"} {
-				h.engine.proceed <- struct{}{}
+				h.engine.answerOne()
 				So(h.engine.nextArrival(), ShouldEqual, want)
 			}
 			seen, _ := h.engine.lastRequest()
@@ -247,11 +272,9 @@
 			response, _, err := h.send("POST", "/summaries/x", "", func(r *http.Request) { r.Header.Set(header.Deadline, deadline) })
 			So(err, ShouldBeNil)
 			So(response.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
-			for range engineSlots {
-				h.engine.proceed <- struct{}{}
-			}
+			h.engine.answerOne()
 			So(eventually(func() bool { return h.metric("gateway_class_in_flight_requests") == 0 }), ShouldBeTrue)
-			So(h.engine.requestCount(), ShouldEqual, engineSlots)
+			So(h.engine.requestCount(), ShouldEqual, 1)
 			So(h.metric("gateway_class_refusals_total", "level=0"), ShouldEqual, 1)
 		})
 	}
@@ -266,8 +289,10 @@
 				}
 				<-r.Context().Done()
 			})
+			b.slots = 1
 			s := newSystemWithConfig(classConfiguration(), b)
 			defer s.close(b)
+			defer s.reportOneSlot(b)()
 			ctx, cancel := context.WithCancel(context.Background())
 			var callers sync.WaitGroup
 			defer callers.Wait()
@@ -280,10 +305,6 @@
 					})
 				})
 			}
-			for range engineSlots - 1 {
-				hold("/drafts/held")
-				<-arrived
-			}
 			status := make(chan int, 1)
 			callers.Go(func() {
 				response, _, err := s.send("POST", "/drafts/broken", "", func(r *http.Request) { r.Header.Set(header.Deadline, deadline) })
@@ -308,7 +329,7 @@
 func TestMetricsOfClasses(t *testing.T) {
 	Convey("Given an engine without a free slot", t, func() {
 		h := newHolding()
-		So(h.metric("gateway_class_in_flight_requests", "level=1"), ShouldEqual, engineSlots)
+		So(h.metric("gateway_class_in_flight_requests", "level=1"), ShouldEqual, 1)
 		ctx, leave := context.WithCancel(context.Background())
 		h.startWaiting("/digests/leaves", func(r *http.Request) { *r = *r.WithContext(ctx) })
 		h.startWaiting("/summaries/x", func(r *http.Request) { r.Header.Set(header.Tokens, "700,90") })
@@ -319,7 +340,7 @@
 		leave()
 		So(eventually(func() bool { return h.metric("gateway_class_waiting_requests", "level=2") == 0 }), ShouldBeTrue)
 		So(h.metric("gateway_class_unread_prompt_tokens"), ShouldEqual, 0)
-		h.engine.proceed <- struct{}{}
+		h.engine.answerOne()
 		So(h.engine.nextArrival(), ShouldEqual, "/summaries/x")
 		So(h.metric("gateway_class_unread_prompt_tokens"), ShouldEqual, 700)
 		So(h.metric("gateway_class_in_flight_requests", "level=0"), ShouldEqual, 1)
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 // backend is a fake backend server whose answers are scripted.
 type backend struct {
 	id       string
+	slots    int // Requests that it runs at the same time.
 	listener net.Listener
 	server   *http.Server
 
@@ -44,7 +45,7 @@
 	if err != nil {
 		panic(err)
 	}
-	b := &backend{id: id, listener: listener}
+	b := &backend{id: id, slots: 4, listener: listener}
 	b.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		b.mu.Lock()
@@ -178,7 +179,7 @@
 	step(topology.ConfigurationRead{Config: config})
 	var list topology.ServersListed
 	for _, b := range backends {
-		list.Servers = append(list.Servers, topology.Server{ID: b.id, Service: "s", Address: b.listener.Addr().String(), Slots: 4})
+		list.Servers = append(list.Servers, topology.Server{ID: b.id, Service: "s", Address: b.listener.Addr().String(), Slots: b.slots})
 	}
 	step(list)
 	g.Install(state.Snapshot(nil))
