Test the load of urgent and less urgent callers with load reports too

An entry without load reports, which the two cases had, must favour urgent requests as well; both stay. The bound is unchanged. The engine has 3 slots there, so that one request is over a tenth of those in flight.

Tested: go test -race ./gateway -run Urgent in server, ok (15 s).

--- a/server/gateway/class_load_test.go
+++ b/server/gateway/class_load_test.go
@@ -57,9 +57,9 @@
 	}
 }
 
-// reportOneSlot makes the engine an idle one with one slot, whose agent reports its load until
-// the returned function is called.
-func (s *system) reportOneSlot(engine *backend) (stop func()) {
+// reportLoad reports the engine's load of other entries, which is none, as its agent does,
+// until the returned function is called.
+func (s *system) reportLoad(engine *backend) (stop func()) {
 	report := func() {
 		s.gateway.ReportLoad(loadreport.Report{Server: engine.listener.Addr().String(), Open: true, Group: "g", Entries: 1, Pace: 1})
 	}
@@ -87,7 +87,7 @@
 	engine := newHeldBackend()
 	engine.slots = 1
 	h := &holding{system: newSystemWithConfig(classConfiguration(), engine.backend), engine: engine}
-	h.stopReports = h.reportOneSlot(engine.backend)
+	h.stopReports = h.reportLoad(engine.backend)
 	h.start("/drafts/held", nil)
 	So(engine.nextArrival(), ShouldEqual, "/drafts/held")
 	return h
@@ -167,9 +167,12 @@
 	cases := []struct {
 		name      string
 		perSecond map[string]int // By route.
+		reported  bool           // The entry gets load reports.
 	}{
-		{"the routes' usual shares of twice the load that the engine serves", map[string]int{"summaries": 36, "drafts": 48, "digests": 16}},
-		{"an urgent burst that fills the engine alone", map[string]int{"summaries": 50, "digests": 50}},
+		{"the routes' usual shares of twice the load that the engine serves", map[string]int{"summaries": 36, "drafts": 48, "digests": 16}, true},
+		{"the same without load reports", map[string]int{"summaries": 36, "drafts": 48, "digests": 16}, false},
+		{"an urgent burst that fills the engine alone", map[string]int{"summaries": 50, "digests": 50}, true},
+		{"the same burst without load reports", map[string]int{"summaries": 50, "digests": 50}, false},
 	}
 	for _, c := range cases {
 		Convey("Under "+c.name+", the urgent route's on-time share is at least the least urgent one's", t, func() {
@@ -177,9 +180,13 @@
 				time.Sleep(answerTime)
 				writeEvents(w, 1, 2, true)
 			})
+			b.slots = 3 // As many as an entry sends to an engine without reports.
 			config := classConfiguration()
 			s := newSystemWithConfig(config, b)
 			defer s.close(b)
+			if c.reported {
+				defer s.reportLoad(b)()
+			}
 			var mu sync.Mutex
 			counted, onTime := map[string]float64{}, map[string]float64{}
 			var callers sync.WaitGroup
@@ -292,7 +299,7 @@
 			b.slots = 1
 			s := newSystemWithConfig(classConfiguration(), b)
 			defer s.close(b)
-			defer s.reportOneSlot(b)()
+			defer s.reportLoad(b)()
 			ctx, cancel := context.WithCancel(context.Background())
 			var callers sync.WaitGroup
 			defer callers.Wait()
