Forget an entry's growth after a break in sending

Requests in flight before a group closed counted as ended, so that an entry could send as many again at once when the group opened.

--- a/policy/dispatch/opening.go
+++ b/policy/dispatch/opening.go
@@ -62,6 +62,9 @@
 // grown within reportLag.
 func (g *group) ownGrowth(own int, now time.Time) int {
 	samples := g.opening.samples
+	if last := len(samples) - 1; last >= 0 && now.Sub(samples[last].at) >= reportLag {
+		samples = samples[:0] // Nothing was sent since; requests that have ended since are not to be made up for at once.
+	}
 	for len(samples) > 1 && now.Sub(samples[1].at) >= reportLag {
 		samples = samples[1:]
 	}
