--- a/policy/dispatch/simulation_test.go
+++ b/policy/dispatch/simulation_test.go
@@ -38,6 +38,7 @@
 	Ticket
 	load       int
 	entry      int
+	retries    int
 	rank       int
 	unread     float64 // Tokens of the prompt still to be read.
 	events     int     // Events of the answer still to be sent.
@@ -167,8 +168,11 @@
 				s.ranks[r.rank] = append(s.ranks[r.rank], r)
 				s.entries[r.entry].Accepted(decision.Server.ID)
 			} else {
-				r.refusal = decision
+				r.refusal, r.Avoid = decision, decision.Server.ID
 				s.end(r, Busy, now)
+				if r.retries++; r.retries <= 2 {
+					s.decided([]Decision{s.entries[r.entry].Submit(r.Ticket, s.random.Float64(), now)}, now)
+				}
 			}
 		case Wait:
 		}
