--- a/policy/dispatch/late_share.go
+++ b/policy/dispatch/late_share.go
@@ -19,7 +19,7 @@
 func (d *Dispatcher) recordArrival(ticket Ticket, now time.Time) {
 	d.demand.Observe(d.classes.Level(ticket.Priority), now)
 	if d.meetsSLO(ticket, now) {
-		d.onTimeArrivals = append(d.onTimeArrivals, now)
+		d.onTimeArrivals = append(trimTimes(d.onTimeArrivals, now), now)
 	}
 }
 
