Predict later first events of prompts that take several passes

Cause: a prompt longer than a rank reads in one pass has its first event a pass later, and the prediction did not know. Ruled out here: ordering the queue by it, which belongs to the queue's order. Tested: go test -race ./policy/dispatch -run 'RankIs|Predicted|WithoutClasses', ok.

--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -258,7 +258,7 @@
 		}
 		decision := d.newDecision(ticket, now)
 		decision.Verdict, decision.Server, decision.Reason = Go, best.candidate, "least_loaded"
-		decision.PredictedFirstEvent = g.pace.predictFirstEvent()
+		decision.PredictedFirstEvent = g.pace.predictFirstEvent() + d.extraReadTime(ticket)
 		d.promptSent(ticket, best, now)
 		best.requestSent(now)
 		g.gate.recordSent()
--- a/policy/dispatch/reading_test.go
+++ b/policy/dispatch/reading_test.go
@@ -330,6 +330,12 @@
 }
 
 func TestRankIsChosenByUnreadPrompts(t *testing.T) {
+	Convey("The first event of a prompt that a rank reads in two passes is expected a pass later", t, func() {
+		predicted := func(prompt int) time.Duration {
+			return withoutBudget(2).Submit(sized(1, start, prompt), 0, start).PredictedFirstEvent
+		}
+		So(predicted(longPrompt)-predicted(shortPrompt), ShouldAlmostEqual, 22750*time.Microsecond, time.Microsecond) // 5 steps of 4.55 ms.
+	})
 	Convey("Given a rank that reads a long prompt and one with more requests", t, func() {
 		d := withoutBudget(2)
 		d.Report("s0", Report{Open: true, Pace: 1, Active: 5}, start)
