--- a/policy/dispatch/classes.go
+++ b/policy/dispatch/classes.go
@@ -21,6 +21,8 @@
 	reasonClassLimit = "class_limit" // The remaining room is reserved for more urgent levels.
 	// The remaining room is reserved for organisations that send less.
 	reasonOrganisationLimit = "organisation_limit"
+	// The prompts that passes read next would make them too long.
+	reasonReadingBudget = "reading_budget"
 )
 
 // waitReason returns why the last ticket could not be sent.
@@ -66,6 +68,10 @@
 		reason = reasonOrganisationLimit
 	}
 	if d.hasShareOfRoom(g, share*float64(limit), float64(total), now) {
+		if !d.mayRead(ticket, g, now) {
+			d.blockedBy = reasonReadingBudget
+			return false
+		}
 		return true
 	}
 	if reason != "" && d.hasShareOfRoom(g, float64(limit), float64(total), now) {
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -99,6 +99,7 @@
 	demand         classes.Demand
 	organisations  organisationLoads
 	blockedBy      string // Why the last ticket could not be sent; empty if no server had room.
+	reading        reading
 }
 
 // NewDispatcher returns a dispatcher for one service.
@@ -132,10 +133,6 @@
 // SetClasses sets the levels of the service's routes.
 func (d *Dispatcher) SetClasses(table classes.Table) { d.classes = table }
 
-// FirstEvent records that the server with this ID has sent the first event of the
-// answer to a ticket, so that it has read the prompt.
-func (d *Dispatcher) FirstEvent(id string, ticket uint64, now time.Time) { d.ObserveEvent(id, now) }
-
 // SetEntries sets the reported number of running entries.
 func (d *Dispatcher) SetEntries(count int) {
 	d.warmUp.Entries = max(d.warmUp.Entries, count)
@@ -291,7 +288,8 @@
 		}
 		decision := d.newDecision(ticket, now)
 		decision.Verdict, decision.Server, decision.Reason = Go, best.candidate, "least_loaded"
-		decision.PredictedFirstEvent = g.pace.predictFirstEvent()
+		decision.PredictedFirstEvent = g.pace.predictFirstEvent() + d.extraReadTime(ticket)
+		d.promptSent(ticket, best, now)
 		best.requestSent(now)
 		if d.classes.Enabled() {
 			d.recordSent(ticket, g, now)
--- a/policy/dispatch/sent.go
+++ b/policy/dispatch/sent.go
@@ -34,12 +34,6 @@
 	d.organisations.sent(sent.name, now)
 }
 
-// DoneTicket is Done for a ticket that was sent to the server.
-func (d *Dispatcher) DoneTicket(id string, ticket uint64, outcome Outcome, now time.Time) (closed bool) {
-	d.recordEnded(ticket)
-	return d.Done(id, outcome, now)
-}
-
 // recordEnded records that the request of a ticket is no longer in flight.
 func (d *Dispatcher) recordEnded(ticket uint64) {
 	if sent, ok := d.sent[ticket]; ok {
