Leave idle room to late requests; keep the backlog of an opening; pause shares by measurement

After the return of a group, 301 late requests were refused after 1.5 s while half of the group's room was idle: their share was reckoned from arrivals alone. They may also use what is below 0.35 of the limit, and wait for as long as their callers within 2 s of an opening.

--- a/policy/classes/demand.go
+++ b/policy/classes/demand.go
@@ -9,8 +9,10 @@
 	// while all others have demand.
 	lastLevelShare = 0.8
 	// GuaranteedShare is the share of an entry's requests in flight up to which a level may
-	// use the whole limit, so that more urgent levels never starve it.
-	GuaranteedShare = 0.1
+	// use the whole limit, so that more urgent levels never starve it. It is above the 0.1
+	// of what is sent that a level is promised, because a level gets its share only when a
+	// slot becomes free.
+	GuaranteedShare = 0.12
 )
 
 // Demand records at one entry which levels have had requests within DemandWindow. The zero
--- a/policy/dispatch/classes.go
+++ b/policy/dispatch/classes.go
@@ -6,9 +6,9 @@
 	// classPauseGoalShare replaces pauseGoalShare for services with classes: single
 	// passes vary above the mean, and one that is longer than the pause makes all streams
 	// late.
-	classPauseGoalShare = 0.74
+	classPauseGoalShare = 0.82
 	// largeGroupClassPauseGoalShare replaces classPauseGoalShare in large groups.
-	largeGroupClassPauseGoalShare = 0.70
+	largeGroupClassPauseGoalShare = 0.78
 	// classMarginPasses replaces engineMarginPasses for services with classes. In an
 	// overload most requests are sent with the least slack, and with 2.5 passes a tenth of
 	// the answers were late; late requests have a share of their own instead.
@@ -51,7 +51,7 @@
 // classes to be sent there.
 func (d *Dispatcher) mayDispatchClass(ticket Ticket, g *group, limit, total int, now time.Time) bool {
 	g.trackOpening(now)
-	if !d.meetsSLO(ticket, now) && float64(g.classLoad.late) >= max(1, d.lateShare(now)*float64(limit)/float64(d.runningEntries())) {
+	if !d.meetsSLO(ticket, now) && !d.mayDispatchLate(g, float64(limit), float64(total), now) {
 		d.blockedBy = reasonLateShare
 		return false
 	}
@@ -67,11 +67,12 @@
 		share *= largeOrganisationShare
 		reason = reasonOrganisationLimit
 	}
+	// The budget comes before the room, so that its bound of the wait counts from the first try.
+	if !d.mayRead(ticket, g, now) {
+		d.blockedBy = reasonReadingBudget
+		return false
+	}
 	if d.hasShareOfRoom(g, share*float64(limit), float64(total), now) {
-		if !d.mayRead(ticket, g, now) {
-			d.blockedBy = reasonReadingBudget
-			return false
-		}
 		return true
 	}
 	if reason != "" && d.hasShareOfRoom(g, float64(limit), float64(total), now) {
--- a/policy/dispatch/late_share.go
+++ b/policy/dispatch/late_share.go
@@ -7,6 +7,11 @@
 	// late requests of a service with classes.
 	minLateShare = 0.1
 	maxLateShare = lateCapacityShare
+	// idleLateShare is the share of a group's limit below which its total of requests in
+	// flight leaves room for late requests, whatever is expected to arrive. Without it, half of
+	// the room of a group that had returned was idle while hundreds of late requests were
+	// refused.
+	idleLateShare = 0.35
 	// usualTimeInFlight is the assumed time in flight of a request while too few have
 	// ended: twenty passes of 100 ms.
 	usualTimeInFlight = 2 * time.Second
@@ -62,3 +67,9 @@
 	needed := perSecond * d.timeInFlight(now).Seconds() * float64(d.runningEntries()) / float64(max(1, limit))
 	return min(max(1-needed, minLateShare), maxLateShare)
 }
+
+// mayDispatchLate reports whether a late request may be sent to a group with this limit and
+// total of requests in flight.
+func (d *Dispatcher) mayDispatchLate(g *group, limit, total float64, now time.Time) bool {
+	return total < idleLateShare*limit || float64(g.classLoad.late) < max(1, d.lateShare(now)*limit/float64(d.runningEntries()))
+}
--- a/policy/dispatch/opening.go
+++ b/policy/dispatch/opening.go
@@ -89,3 +89,17 @@
 	}
 	return !full && growth < max(1, lagRoomShare*room)
 }
+
+// openedRecently reports whether a group of a service with classes has opened so recently
+// that requests which waited for it may still be queued.
+func (d *Dispatcher) openedRecently(now time.Time) bool {
+	if !d.classes.Enabled() {
+		return false
+	}
+	for _, g := range d.groups {
+		if now.Sub(g.opening.openedAt) < maxWait {
+			return true
+		}
+	}
+	return false
+}
--- a/policy/dispatch/order.go
+++ b/policy/dispatch/order.go
@@ -20,9 +20,10 @@
 type position struct {
 	ticket    Ticket
 	late      bool
-	level     int     // See Dispatcher.rank.
-	overtaken bool    // It has waited for maxOvertaken.
-	load      float64 // Load of its organisation with the organisation's tickets before this one.
+	level     int       // See Dispatcher.rank.
+	overtaken bool      // It has waited for maxOvertaken.
+	load      float64   // Load of its organisation with the organisation's tickets before this one.
+	sendBy    time.Time // When a usual prompt would have to be sent for the same slack.
 }
 
 // compareUrgency compares positions by all but organisation, slack and arrival.
@@ -33,7 +34,7 @@
 // compareSlack compares positions by slack, which all tickets lose at the same rate, then by
 // arrival.
 func (p *position) compareSlack(other *position) int {
-	return cmp.Or(p.ticket.SLODeadline.Compare(other.ticket.SLODeadline), p.ticket.Arrived.Compare(other.ticket.Arrived))
+	return cmp.Or(p.sendBy.Compare(other.sendBy), p.ticket.Arrived.Compare(other.ticket.Arrived))
 }
 
 func compareBools(a, b bool) int {
@@ -56,7 +57,7 @@
 		d.demand.Observe(d.classes.Level(ticket.Priority), now)
 		positions[i] = position{
 			ticket: ticket, late: !d.meetsSLO(ticket, now), level: d.rank(ticket.Priority), overtaken: now.Sub(ticket.Arrived) > maxOvertaken,
-			load: d.organisations.of(ticket.Organisation, now),
+			load: d.organisations.of(ticket.Organisation, now), sendBy: ticket.SLODeadline.Add(-d.extraReadTime(ticket)),
 		}
 	}
 	slices.SortStableFunc(positions, func(a, b position) int { return cmp.Or(a.compareUrgency(&b), a.compareSlack(&b)) })
--- a/policy/dispatch/queue.go
+++ b/policy/dispatch/queue.go
@@ -165,8 +165,10 @@
 // may.
 func (d *Dispatcher) timedOut(ticket Ticket, now time.Time) bool {
 	lateAt := ticket.SLODeadline.Add(lateGrace - d.firstAnswerMargin())
-	if d.allClosed() {
-		lateAt = ticket.Deadline // The group may open at any moment, with all its slots free.
+	if d.allClosed() || d.openedRecently(now) {
+		// A closed group may open at any moment, with all its slots free. Requests that have
+		// waited for it to open are sent as far as those on time leave room.
+		lateAt = ticket.Deadline
 	}
 	return now.Sub(ticket.Arrived) > maxWait || now.After(lateAt) || !now.Before(ticket.Deadline)
 }
