--- a/policy/dispatch/reading.go
+++ b/policy/dispatch/reading.go
@@ -203,12 +203,6 @@
 	d.reading.heldSince[ticket] = now
 }
 
-// holds reports whether the reading budget has held the ticket back.
-func (r *reading) holds(ticket uint64) bool {
-	_, held := r.heldSince[ticket]
-	return held
-}
-
 // release records that the ticket's prompt is not unread any more, and returns it.
 func (r *reading) release(ticket uint64) workload.Load {
 	delete(r.heldSince, ticket)
