--- a/review/1/main.go
+++ b/review/standin/trial.go
@@ -1,6 +1,3 @@
-// Command 1 shows that an entry acts on an old configuration after the platform's store has
-// been silent. It starts entries as separate processes, with stand-ins of the store, of
-// backend servers and of callers, and checks the rule CONFIG.
 package main
 
 import (
@@ -11,7 +8,6 @@
 	"log"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,19 +21,15 @@
 )
 
 const (
-	entryCount  = 2
+	entryCount  = 4
 	serverCount = 3
 	serverSlots = 6
 	serverPort  = 9100
+	proxyPort   = 8224
 	metricsPort = 9464
-
-	heartbeat    = 1200 * time.Millisecond
-	answerTime   = 4 * time.Millisecond // Of the store.
-	silence      = 8 * time.Second      // The longest that the site file has for a silent store.
-	changeBefore = 400 * time.Millisecond
-	changeAfter  = 200 * time.Millisecond
-	callInterval = 10 * time.Millisecond
-	observation  = 6 * time.Second // After the end of the silence.
+	heartbeat   = 1200 * time.Millisecond
+	// attemptEntryDigits is the number of digits of an attempt's ID that tell the entry.
+	attemptEntryDigits = 8
 
 	// Bounds of the deployment.
 	configApply = 2 * time.Second
@@ -50,44 +42,6 @@
 	newKey      = "anfqasnmgkcuyj8pjbvk"
 )
 
-// The exit statuses of a case.
-const (
-	exitHeld = iota
-	exitBroken
-	exitNotRun
-)
-
-// store is the platform's store. While it is silent it accepts calls and answers none; a
-// call whose answer is due meanwhile, or that arrived meanwhile, is never answered.
-type store struct {
-	*platformtest.Store
-	silent   atomic.Bool
-	silences atomic.Int64 // Number of silences that have begun.
-}
-
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	silences := s.silences.Load()
-	recorder := httptest.NewRecorder()
-	if !s.silent.Load() {
-		s.Store.ServeHTTP(recorder, r)
-		time.Sleep(answerTime)
-	}
-	if s.silent.Load() || s.silences.Load() != silences {
-		<-r.Context().Done()
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(recorder.Code)
-	_, _ = w.Write(recorder.Body.Bytes())
-}
-
-func (s *store) setSilent(silent bool) {
-	if silent {
-		s.silences.Add(1)
-	}
-	s.silent.Store(silent)
-}
-
 // configuration returns a version of the configuration in which an organisation has the key.
 func configuration(version int64, key string) map[string]any {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
@@ -152,16 +106,20 @@
 	key    string
 	status int
 	failed string // Why there was no answer; empty if there was one.
+	broken bool   // The call broke the rule.
 }
 
-// trial is one run of the case.
+// trial is one run of a case.
 type trial struct {
-	network string // First three octets of the addresses.
-	folder  string
-	store   *store
-	started time.Time
-	record  *log.Logger
-	entries []*exec.Cmd
+	network    string // First three octets of the addresses.
+	folder     string
+	started    time.Time
+	record     *log.Logger
+	store      *store
+	executions *platformtest.ExecutionLog
+	servers    []*server
+	entries    []*exec.Cmd
+	key        atomic.Value // The key that callers use.
 
 	mu    sync.Mutex
 	calls []call
@@ -173,7 +131,7 @@
 
 // put writes a row as an operator or a backend server does.
 func (t *trial) put(table, key string, value any) error {
-	time.Sleep(answerTime)
+	time.Sleep(storeAnswerTime)
 	return t.store.Put(table, key, value)
 }
 
@@ -182,7 +140,7 @@
 	for i := range 100 {
 		network := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+i)%200, 1+i)
 		free := true
-		for _, port := range []int{platformtest.FrontPort, platformtest.ReadyPort, platformtest.StorePort, metricsPort, serverPort} {
+		for _, port := range []int{platformtest.FrontPort, platformtest.ReadyPort, platformtest.StorePort, proxyPort, metricsPort, serverPort} {
 			for _, last := range []int{1, entryCount, 250, 101, 100 + serverCount} {
 				listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, last, port))
 				if err != nil {
@@ -212,28 +170,84 @@
 	return nil
 }
 
-// startServers starts the backend servers, which write their rows at each heartbeat while
-// the store answers.
-func (t *trial) startServers(executions *platformtest.ExecutionLog) error {
+// server is a backend server. It writes its row at each heartbeat while it runs and the
+// store answers.
+type server struct {
+	platformtest.Server
+	http    *http.Server
+	crashed atomic.Bool
+
+	mu       sync.Mutex
+	inFlight map[string]time.Time // When the requests that are being worked on arrived, by attempt.
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(header.AttemptID)
+	s.mu.Lock()
+	s.inFlight[attempt] = time.Now()
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.inFlight, attempt)
+	}()
+	s.Server.ServeHTTP(w, r)
+}
+
+// workingFor returns the number of entries whose requests the server has been working on for
+// a while and will be for another one.
+func (s *server) workingFor() int {
+	const margin = 10 * time.Millisecond // Of the 80 ms that a request takes.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries := map[string]bool{}
+	for attempt, since := range s.inFlight {
+		if age := time.Since(since); age > margin && age < 5*margin {
+			entries[attempt[:attemptEntryDigits]] = true
+		}
+	}
+	return len(entries)
+}
+
+// crash ends the server as the end of its process would: nothing listens at its address
+// any more, and its connections are closed.
+func (s *server) crash() {
+	s.crashed.Store(true)
+	_ = s.http.Close()
+}
+
+func (t *trial) startServers() error {
 	for i := range serverCount {
 		address := fmt.Sprintf("%s.%d:%d", t.network, 101+i, serverPort)
-		server := &platformtest.Server{ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Slots: serverSlots, ExecutionLog: executions}
-		if err := serve(address, server); err != nil {
+		s := &server{
+			Server:   platformtest.Server{ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Slots: serverSlots, ExecutionLog: t.executions},
+			inFlight: map[string]time.Time{},
+		}
+		s.http = &http.Server{Handler: s}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
 			return err
 		}
+		go func() { _ = s.http.Serve(listener) }()
 		row := platformtest.ServerRow(serviceName, address, zone, serverSlots, false)
-		if err := t.put("servers", server.ID, row); err != nil {
+		if err := t.put("servers", s.ID, row); err != nil {
 			return err
 		}
 		go func() {
 			for seq := 1; ; seq++ {
 				time.Sleep(heartbeat)
 				row["seq"] = seq
+				if s.crashed.Load() {
+					time.Sleep(2 * heartbeat) // The row is removed after three of silence.
+					t.store.Remove("servers", s.ID)
+					return
+				}
 				if !t.store.silent.Load() {
-					_ = t.put("servers", server.ID, row)
+					_ = t.put("servers", s.ID, row)
 				}
 			}
 		}()
+		t.servers = append(t.servers, s)
 	}
 	return nil
 }
@@ -297,7 +311,7 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.entryAddress(entry, platformtest.FrontPort)+"/cufi504/fi50/2f", nil)
 	if err == nil {
 		request.Host = host
-		request.Header.Set(header.AttemptID, fmt.Sprintf("%08x%08x", entry, number))
+		request.Header.Set(header.AttemptID, fmt.Sprintf("%0*x%08x", attemptEntryDigits, entry, number))
 		request.Header.Set(header.Deadline, "1500")
 		request.Header.Set(header.Authorization, "Token "+key)
 		var response *http.Response
@@ -315,135 +329,92 @@
 	t.mu.Unlock()
 }
 
-// callAll sends requests to all entries until the time, with the key that current returns.
-func (t *trial) callAll(until time.Time, current func() string) {
+// callAll sends requests to all entries at the interval until the time.
+func (t *trial) callAll(interval time.Duration, until time.Time) (finished chan struct{}) {
+	finished = make(chan struct{})
 	var running sync.WaitGroup
 	for entry := range entryCount {
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 		running.Go(func() {
 			for number := 0; time.Now().Before(until); number++ {
-				running.Go(func() { t.request(client, entry, number, current()) })
-				time.Sleep(callInterval)
+				running.Go(func() { t.request(client, entry, number, t.key.Load().(string)) })
+				time.Sleep(interval)
 			}
 		})
 	}
-	running.Wait()
-}
-
-// run plays the case. It returns the number of requests that broke the rule, and of those
-// that it was checked for.
-func (t *trial) run(trouble bool) (broken, checked int, err error) {
-	executions := platformtest.NewExecutionLog()
-	storeAddress := fmt.Sprintf("%s.250:%d", t.network, platformtest.StorePort)
-	if err := serve(storeAddress, t.store); err != nil {
-		return 0, 0, err
-	}
-	if err := t.put("op", platformtest.ConfigurationKey, configuration(7, oldKey)); err != nil {
-		return 0, 0, err
-	}
-	if err := t.startServers(executions); err != nil {
-		return 0, 0, err
-	}
-	if err := t.startEntries(storeAddress); err != nil {
-		return 0, 0, err
-	}
-	time.Sleep(contactTime)
-
-	var key atomic.Value // The key that callers use.
-	key.Store(oldKey)
-	until := time.Now().Add(changeBefore + silence + observation)
-	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		t.callAll(until, func() string { return key.Load().(string) })
+		running.Wait()
 	}()
-	if err := t.put("op", platformtest.ConfigurationKey, configuration(9, oldKey)); err != nil {
-		return 0, 0, err
+	return finished
+}
+
+// start starts the stand-ins and the entries, which reach the store at storeAddress.
+func (t *trial) start(storeAddress string) error {
+	if err := serve(t.storeAddress(), t.store); err != nil {
+		return err
 	}
-	t.logf("version 9 of the configuration was acknowledged; nothing changes for callers")
-	time.Sleep(changeBefore)
-	if trouble {
-		t.store.setSilent(true)
-		t.logf("the store is silent")
+	if err := t.putConfiguration(7, oldKey); err != nil {
+		return err
 	}
-	time.Sleep(silence)
-	t.store.setSilent(false)
-	silentUntil := time.Now()
-	if trouble {
-		t.logf("the store answers again")
+	if err := t.startServers(); err != nil {
+		return err
 	}
-	time.Sleep(changeAfter)
-	if err := t.put("op", platformtest.ConfigurationKey, configuration(12, newKey)); err != nil {
-		return 0, 0, err
+	return t.startEntries(storeAddress)
+}
+
+func (t *trial) storeAddress() string {
+	return fmt.Sprintf("%s.250:%d", t.network, platformtest.StorePort)
+}
+
+func (t *trial) putConfiguration(version int64, key string) error {
+	return t.put("op", platformtest.ConfigurationKey, configuration(version, key))
+}
+
+// changeKey replaces the organisation's key. Callers use the new one as soon as it is
+// bound to be in force everywhere.
+func (t *trial) changeKey() (acknowledged time.Time, err error) {
+	if err := t.putConfiguration(12, newKey); err != nil {
+		return time.Time{}, err
 	}
-	acknowledged := time.Now()
+	acknowledged = time.Now()
 	t.logf("version 12 was acknowledged: the organisation's key is replaced by another one")
-	time.Sleep(configApply)
-	key.Store(newKey)
-	t.logf("callers use the new key")
-	<-finished
-
-	bound := acknowledged.Add(configApply)
-	if inTouch := silentUntil.Add(contactTime); trouble && inTouch.After(bound) {
-		bound = inTouch
+	time.AfterFunc(configApply, func() {
+		t.key.Store(newKey)
+		t.logf("callers use the new key")
+	})
+	return acknowledged, nil
+}
+
+// checkRefusals counts the calls that were sent from the time on, and those of them that
+// were refused as only the version before the change of the key allows.
+func (t *trial) checkRefusals(from time.Time) (broken, checked int) {
+	t.logf("the rule binds requests that are sent from %.3f on", from.Sub(t.started).Seconds())
+	for i := range t.calls {
+		made := &t.calls[i]
+		if made.sentAt.Before(from) {
+			continue
+		}
+		checked++
+		if made.broken = made.status == http.StatusUnauthorized && made.key == newKey; made.broken {
+			broken++
+		}
 	}
-	t.logf("the rule binds requests that are sent from %.3f on", bound.Sub(t.started).Seconds())
+	return broken, checked
+}
+
+// recordCalls writes what was sent, answered and run to the record.
+func (t *trial) recordCalls() {
 	for _, made := range t.calls {
 		verdict := ""
-		if !made.sentAt.Before(bound) {
-			checked++
-			if made.status == http.StatusUnauthorized && made.key == newKey {
-				broken++
-				verdict = "  BROKEN: refused as only an older version says"
-			}
+		if made.broken {
+			verdict = "  BROKEN: refused as only an older version says"
 		}
 		t.record.Printf("%8.3f  request to entry %d with key %s: status %d %s%s", made.sentAt.Sub(t.started).Seconds(), made.entry, made.key, made.status, made.failed, verdict)
 	}
-	executions.Each(func(attempt string, each []platformtest.Execution) {
+	t.executions.Each(func(attempt string, each []platformtest.Execution) {
 		for _, execution := range each {
 			t.record.Printf("%8.3f  server %s ran request %s", execution.At.Sub(t.started).Seconds(), execution.Server, attempt)
 		}
 	})
-	return broken, checked, nil
-}
-
-func main() { os.Exit(play()) }
-
-func play() int {
-	record, err := os.Create("review/1/record.txt")
-	if err != nil {
-		fmt.Println(err)
-		return exitNotRun
-	}
-	defer func() { _ = record.Close() }()
-	folder, err := os.MkdirTemp("", "case-1-")
-	if err != nil {
-		fmt.Println(err)
-		return exitNotRun
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	network, err := findNetwork()
-	if err != nil {
-		fmt.Println(err)
-		return exitNotRun
-	}
-	t := &trial{network: network, folder: folder, store: &store{Store: platformtest.NewStore()}, started: time.Now(), record: log.New(record, "", 0)}
-	defer t.stopEntries()
-	trouble := os.Getenv("TROUBLE") != "0"
-	broken, checked, err := t.run(trouble)
-	if err != nil {
-		t.logf("the case could not run: %v", err)
-		fmt.Println("the case could not run:", err)
-		return exitNotRun
-	}
-	outcome := fmt.Sprintf("trouble %t: CONFIG broken by %d of %d requests that it binds", trouble, broken, checked)
-	t.logf("%s", outcome)
-	fmt.Println(outcome)
-	switch {
-	case checked == 0:
-		return exitNotRun
-	case broken > 0:
-		return exitBroken
-	}
-	return exitHeld
 }
