--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,8 +25,9 @@
 type scenario func(t *trial, trouble bool) (broken, checked int, err error)
 
 var scenarios = map[string]scenario{
-	"1": playSilentStore,
-	"2": playSilentConnections,
+	"1": playCutInAnEvent,
+	"2": playSilentStore,
+	"3": playSilentConnections,
 }
 
 func main() { os.Exit(play()) }
@@ -59,7 +60,7 @@
 		store: &store{Store: platformtest.NewStore()}, executions: platformtest.NewExecutionLog(),
 	}
 	t.key.Store(oldKey)
-	defer t.stopEntries()
+	defer t.stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken, checked, err := scenarios[number](t, trouble)
 	if err != nil {
--- a/review/standin/trial.go
+++ b/review/standin/trial.go
@@ -118,8 +118,9 @@
 	store      *store
 	executions *platformtest.ExecutionLog
 	servers    []*server
-	entries    []*exec.Cmd
-	key        atomic.Value // The key that callers use.
+	processes  []*exec.Cmd                                                                 // Entries and agents.
+	answer     func(server string, w http.ResponseWriter, r *http.Request, attempt string) // Of engines.
+	key        atomic.Value                                                                // The key that callers use.
 
 	mu    sync.Mutex
 	calls []call
@@ -272,7 +273,7 @@
 		if err := command.Start(); err != nil {
 			return err
 		}
-		t.entries = append(t.entries, command)
+		t.processes = append(t.processes, command)
 	}
 	for i := range entryCount {
 		if err := t.awaitReady(t.entryAddress(i, platformtest.ReadyPort)); err != nil {
@@ -296,10 +297,10 @@
 	return fmt.Errorf("entry at %s is not ready", address)
 }
 
-func (t *trial) stopEntries() {
-	for _, entry := range t.entries {
-		_ = entry.Process.Kill()
-		_ = entry.Wait()
+func (t *trial) stop() {
+	for _, process := range t.processes {
+		_ = process.Process.Kill()
+		_ = process.Wait()
 	}
 }
 
@@ -351,15 +352,25 @@
 
 // start starts the stand-ins and the entries, which reach the store at storeAddress.
 func (t *trial) start(storeAddress string) error {
+	return t.startWith(configuration(7, oldKey), storeAddress)
+}
+
+// startWith is start with a configuration, which may have engines.
+func (t *trial) startWith(config map[string]any, storeAddress string) error {
 	if err := serve(t.storeAddress(), t.store); err != nil {
 		return err
 	}
-	if err := t.putConfiguration(7, oldKey); err != nil {
+	if err := t.put("op", platformtest.ConfigurationKey, config); err != nil {
 		return err
 	}
 	if err := t.startServers(); err != nil {
 		return err
 	}
+	if t.answer != nil {
+		if err := t.startEngines(); err != nil {
+			return err
+		}
+	}
 	return t.startEntries(storeAddress)
 }
 
