--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,8 +26,9 @@
 
 var scenarios = map[string]scenario{
 	"1": playCutInAnEvent,
-	"2": playSilentStore,
-	"3": playSilentConnections,
+	"2": playFailureAfterRun,
+	"3": playSilentStore,
+	"4": playSilentConnections,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/trial.go
+++ b/review/standin/trial.go
@@ -21,13 +21,14 @@
 )
 
 const (
-	entryCount  = 4
-	serverCount = 3
-	serverSlots = 6
-	serverPort  = 9100
-	proxyPort   = 8224
-	metricsPort = 9464
-	heartbeat   = 1200 * time.Millisecond
+	entryCount   = 4
+	serverCount  = 3
+	serverSlots  = 6
+	serverPort   = 9100
+	proxyPort    = 8224
+	metricsPort  = 9464
+	heartbeat    = 1200 * time.Millisecond
+	callDeadline = 1500 * time.Millisecond
 	// attemptEntryDigits is the number of digits of an attempt's ID that tell the entry.
 	attemptEntryDigits = 8
 
@@ -101,12 +102,13 @@
 
 // call is one request of a caller.
 type call struct {
-	sentAt time.Time
-	entry  int
-	key    string
-	status int
-	failed string // Why there was no answer; empty if there was one.
-	broken bool   // The call broke the rule.
+	sentAt  time.Time
+	attempt string
+	entry   int
+	key     string
+	status  int
+	failed  string // Why there was no answer; empty if there was one.
+	broken  bool   // The call broke the rule.
 }
 
 // trial is one run of a case.
@@ -177,6 +179,9 @@
 	platformtest.Server
 	http    *http.Server
 	crashed atomic.Bool
+	// intercept answers a request in the server's place and reports whether it has; nil
+	// for none.
+	intercept func(w http.ResponseWriter, r *http.Request) bool
 
 	mu       sync.Mutex
 	inFlight map[string]time.Time // When the requests that are being worked on arrived, by attempt.
@@ -192,6 +197,9 @@
 		defer s.mu.Unlock()
 		delete(s.inFlight, attempt)
 	}()
+	if s.intercept != nil && s.intercept(w, r) {
+		return
+	}
 	s.Server.ServeHTTP(w, r)
 }
 
@@ -306,14 +314,23 @@
 
 // request sends one idempotent request with the key to the entry.
 func (t *trial) request(client *http.Client, entry, number int, key string) {
-	made := call{sentAt: time.Now(), entry: entry, key: key}
-	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	t.send(client, http.MethodGet, "/cufi504/fi50/2f", entry, number, key, func(c call) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.calls = append(t.calls, c)
+	})
+}
+
+// send sends one request to the entry and passes what became of it to done.
+func (t *trial) send(client *http.Client, method, path string, entry, number int, key string, done func(call)) {
+	made := call{sentAt: time.Now(), attempt: fmt.Sprintf("%0*x%08x", attemptEntryDigits, entry, number), entry: entry, key: key}
+	ctx, cancel := context.WithTimeout(context.Background(), callDeadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.entryAddress(entry, platformtest.FrontPort)+"/cufi504/fi50/2f", nil)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+t.entryAddress(entry, platformtest.FrontPort)+path, nil)
 	if err == nil {
 		request.Host = host
-		request.Header.Set(header.AttemptID, fmt.Sprintf("%0*x%08x", attemptEntryDigits, entry, number))
-		request.Header.Set(header.Deadline, "1500")
+		request.Header.Set(header.AttemptID, made.attempt)
+		request.Header.Set(header.Deadline, fmt.Sprint(callDeadline.Milliseconds()))
 		request.Header.Set(header.Authorization, "Token "+key)
 		var response *http.Response
 		if response, err = client.Do(request); err == nil {
@@ -325,9 +342,7 @@
 	if err != nil {
 		made.failed = err.Error()
 	}
-	t.mu.Lock()
-	t.calls = append(t.calls, made)
-	t.mu.Unlock()
+	done(made)
 }
 
 // callAll sends requests to all entries at the interval until the time.
