--- a/review/stand-2/platform/common.go
+++ b/review/stand-2/platform/common.go
@@ -170,7 +170,7 @@
 	id, address, service string
 	slots                int
 	work                 time.Duration
-	record               *record
+	record               *record // Nil for a worker with so many runs that they are not recorded one by one.
 	server               *http.Server
 
 	mu     sync.Mutex
@@ -232,7 +232,9 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, run{id: id, worker: w.id, tenant: r.Header.Get("Persimmonwind-Tenant"), at: arrivedAt})
 	w.mu.Unlock()
-	w.record.logAt(arrivedAt, "worker %s runs %s, tenant %q, body %d bytes", w.id, id, r.Header.Get("Persimmonwind-Tenant"), size)
+	if w.record != nil {
+		w.record.logAt(arrivedAt, "worker %s runs %s, tenant %q, body %d bytes", w.id, id, r.Header.Get("Persimmonwind-Tenant"), size)
+	}
 	select {
 	case <-time.After(w.work):
 	case <-r.Context().Done():
--- a/review/stand-2/platform/main.go
+++ b/review/stand-2/platform/main.go
@@ -12,6 +12,7 @@
 		"stale-configuration": staleConfiguration,
 		"gone-worker":         goneWorker,
 		"large-bodies":        largeBodies,
+		"rolling-stop":        rollingStop,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand-2 CASE RECORD")
