--- a/review/stand-2/platform/gone_worker.go
+++ b/review/stand-2/platform/gone_worker.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	drain = 2 * time.Second // bounds.drain_ms
+	contact = 3 * time.Second // bounds.contact_ms
+	drain   = 2 * time.Second // bounds.drain_ms
 	// longOutage is how long the store does not answer one machine, which the pages allow.
 	longOutage = 9 * time.Second
 	// longOutagePhase is how long the machine's poll has been waiting when the outage begins.
--- a/review/stand-2/platform/main.go
+++ b/review/stand-2/platform/main.go
@@ -9,10 +9,9 @@
 // record. The variable TROUBLE=0 leaves the disruption out.
 func main() {
 	cases := map[string]func(*record, string, bool) int{
-		"stale-configuration": staleConfiguration,
-		"gone-worker":         goneWorker,
-		"large-bodies":        largeBodies,
-		"rolling-stop":        rollingStop,
+		"gone-worker":  goneWorker,
+		"large-bodies": largeBodies,
+		"rolling-stop": rollingStop,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand-2 CASE RECORD")
