--- a/review/stand-2/platform/gone_worker.go
+++ b/review/stand-2/platform/gone_worker.go
@@ -18,18 +18,19 @@
 	leaveBefore = 1500 * time.Millisecond
 	// lingers is how long the worker goes on serving after that.
 	lingers = 5200 * time.Millisecond
-	// callers is the number of callers, each of which sends one request after the other.
-	callers = 20
+	// callers is the number of callers of each of the first two entries, each of which sends
+	// one request after the other. The other entries have two each.
+	callers = 28
 )
 
-// goneWorker: the store answers one entry of two for 9 s not at all. Shortly before the end
-// one of three workers leaves as some do: its entry in the store is removed, and it goes on
+// goneWorker: the store answers one entry of four for 9 s not at all. Shortly before the end
+// one of four workers leaves as some do: its entry in the store is removed, and it goes on
 // serving for some seconds. Once the entry is in touch again, over drain_ms after the
 // removal, it must send that worker nothing.
 func goneWorker(r *record, folder string, trouble bool) int {
 	s := newStore()
 	var workers []*worker
-	for i := range 3 {
+	for i := range 4 {
 		w, err := startWorker(fmt.Sprintf("i-%d", i+1), "app", 6, 150*time.Millisecond, r)
 		if err != nil {
 			r.say("could not run: %v", err)
@@ -37,7 +38,7 @@
 		}
 		workers = append(workers, w)
 	}
-	leaving := workers[2]
+	leaving := workers[3]
 	s.put("op", "config", configuration(7, []any{route("/book/", "non_idempotent", "app", 2000, 1, true)}, nil, "app"))
 	for _, w := range workers {
 		s.put("servers", w.id, w.row())
@@ -49,7 +50,7 @@
 			e.kill()
 		}
 	}()
-	for _, name := range []string{"edge-1", "edge-2"} {
+	for _, name := range []string{"edge-1", "edge-2", "edge-3", "edge-4"} {
 		g, err := newGate(s)
 		if err != nil {
 			r.say("could not run: %v", err)
@@ -84,7 +85,7 @@
 	}
 	inTouch := end.Add(contact)
 
-	// The load: more than two workers run at a time, less than three do.
+	// The load: more than the three workers that stay run at a time.
 	type sent struct {
 		by *entry
 		reply
@@ -95,8 +96,12 @@
 	var load sync.WaitGroup
 	var number atomic.Int64
 	stop := inTouch.Add(2500 * time.Millisecond)
-	for _, e := range entries {
-		for range callers {
+	for i, e := range entries {
+		ofEntry := callers
+		if i >= 2 {
+			ofEntry = 2
+		}
+		for range ofEntry {
 			load.Go(func() {
 				time.Sleep(time.Until(end.Add(1500 * time.Millisecond)))
 				for time.Now().Before(stop) {
@@ -130,8 +135,8 @@
 			lost++
 		}
 	}
-	r.say("in touch, over %v after the removal was acknowledged, %s got %d requests by way of edge-1 and %d by way of edge-2; %d of them got no answer of the worker as it exited",
-		drain, leaving.id, late["edge-1"], late["edge-2"], lost)
+	r.say("in touch, over %v after the removal was acknowledged, %s got %d requests by way of edge-1 and %d by way of the others; %d of them got no answer of the worker as it exited",
+		drain, leaving.id, late["edge-1"], late["edge-2"]+late["edge-3"]+late["edge-4"], lost)
 	if len(late) > 0 {
 		r.say("DRAIN is broken: the last of them reached the worker %.1f s after the acknowledgement and %.1f s after edge-1 was in touch", last.Sub(removed).Seconds(), last.Sub(inTouch).Seconds())
 		return exitBroken
--- a/review/stand-2/platform/large_bodies.go
+++ b/review/stand-2/platform/large_bodies.go
@@ -16,15 +16,15 @@
 const (
 	memoryMB    = 284 // limits.memory_mb of an edge machine
 	usualPerS   = 10.0
-	burstFactor = 1.7 // The largest one that the site file names.
-	burstLength = 5 * time.Second
+	burstFactor = 1.7             // The largest one that the site file names.
+	burstLength = 3 * time.Second // The longest one of that size in the site file.
 	streamPiece = 100 * time.Millisecond
 	pieces      = 60
 	firstPiece  = 350 * time.Millisecond
 )
 
 // bodyBytes is the size of a prompt, under max_body_bytes of the configuration, 4,194,304.
-const bodyBytes = 3_200_000
+const bodyBytes = 3_400_000
 
 // streamWorker answers a stream of events.
 func streamWorker(w *worker) http.Handler {
