--- /dev/null
+++ b/review/standin-2/platform/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases are the cases by name.
+var cases = map[string]func(f *fleet) (broken bool){
+	"big-config": playBigConfig,
+}
