--- a/review/standin-2/platform/cases.go
+++ b/review/standin-2/platform/cases.go
@@ -4,5 +4,6 @@
 var cases = map[string]func(f *fleet) (broken bool){
 	"big-config": playBigConfig,
 	"big-bodies": playBigBodies,
-	"stops": playStops,
+	"stops":      playStops,
+	"accused":    playAccused,
 }
