--- a/review/standin-2/platform/group.go
+++ b/review/standin-2/platform/group.go
@@ -287,4 +287,3 @@
 	}
 	return service
 }
-
