--- a/review/standin-2/platform/cases.go
+++ b/review/standin-2/platform/cases.go
@@ -2,5 +2,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(f *fleet) (broken bool){
-	"accused": playAccused,
+	"accused":     playAccused,
+	"last-tenant": playLastTenant,
 }
--- a/review/standin-2/platform/configuration.go
+++ b/review/standin-2/platform/configuration.go
@@ -10,6 +10,7 @@
 	headerExpect      = "Persimmonwind-Expect-Instance"
 	headerNotExecuted = "Persimmonwind-Not-Executed"
 	headerInstance    = "Persimmonwind-Instance-Id"
+	headerTenant      = "Persimmonwind-Tenant"
 )
 
 const routeHost = "ficu95.example"
