--- a/review/standin-2/platform/group.go
+++ b/review/standin-2/platform/group.go
@@ -127,9 +127,10 @@
 	broken := g.broken
 	g.mu.Unlock()
 	var down []*modelWorker
+	var ids []string
 	for _, w := range g.workers {
 		if zoneOf(w.rank) == zone {
-			down = append(down, w)
+			down, ids = append(down, w), append(ids, w.id)
 		}
 	}
 	for _, w := range down {
@@ -138,8 +139,8 @@
 	g.f.note("%d workers of %s have crashed", len(down), zone)
 	time.AfterFunc(stallTime, func() { close(broken) })
 	time.AfterFunc(3600*time.Millisecond, func() { // Three heartbeats.
-		for _, w := range down {
-			g.store.remove("servers", w.id)
+		for _, id := range ids {
+			g.store.remove("servers", id)
 		}
 	})
 	time.AfterFunc(dark, func() {
