upstream: an answer without a length is whole only behind a FIN

Cause: the kernel reports the error of a reset once. The goroutine that writes the rest of the request takes it, and the one that reads the answer meets an ordinary end, which net/http takes for the end of such a body.

All answers of backend servers pass Pool.Do, which now hands out a body that checks its end: if the answer has neither a length nor chunks, the connection must be in CLOSE_WAIT, that is, the server has sent a FIN and no reset. Where the kernel doesn't tell the state, the request's body must have been written without an error, as then no write can have taken it.

Sound answers that end with a FIN during or after an upload get through, whether or not the server reads on.

--- /dev/null
+++ b/server/gateway/broken_answers_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"persimmonwind.dev/platform/header"
+	"persimmonwind.dev/server/upstream"
+	"persimmonwind.dev/server/upstream/upstreamtest"
+)
+
+const longUploadBytes = 32 << 20 // More than sockets on loopback buffer.
+
+// newRawBackend returns a backend on a raw socket.
+func newRawBackend(id string, serve func(upstreamtest.Request) bool) *backend {
+	return &backend{id: id, slots: 4, listener: upstreamtest.NewRawServer(serve), server: &http.Server{}}
+}
+
+// rawScript is the script of two raw servers: the first request that any of them gets is
+// served by first, all others by the rest.
+func rawScript(first, rest func(upstreamtest.Request) bool) func(upstreamtest.Request) bool {
+	asked := make(chan struct{}, 1)
+	return func(r upstreamtest.Request) bool {
+		select {
+		case asked <- struct{}{}:
+			return first(r)
+		default:
+			return rest(r)
+		}
+	}
+}
+
+// stampedHead returns the status line and the server's headers of an answer to the
+// request, without the blank line.
+func stampedHead(r upstreamtest.Request, status string) string {
+	return "HTTP/1.1 " + status + "\r\n" + header.AttemptID + ": " + r.Header.Get(header.AttemptID) + "\r\n" + header.Stamp + ": signed\r\n"
+}
+
+// dialFirstInOrder returns a dial function whose first connection has the order.
+func dialFirstInOrder(order upstreamtest.Order) func(context.Context, string, string) (net.Conn, error) {
+	var dialed atomic.Bool
+	inOrder := upstreamtest.Dialer(order)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dialed.CompareAndSwap(false, true) {
+			return inOrder(ctx, network, address)
+		}
+		return upstream.Dial(ctx, network, address)
+	}
+}
+
+// Guards against handing on the part of an answer without a length as a whole answer when
+// the server resets the connection during a long upload.
+func TestResetAnswersDuringLongUploads(t *testing.T) {
+	const events, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	cases := []struct {
+		path, part, then, want string // An empty want stands for a failure.
+	}{
+		{"/safe/x", "answ", "answer", "answer"},
+		{"/once/x", "answ", "answer", ""},
+		{"/stream/x", events, rest, events + rest},
+	}
+	for _, c := range cases {
+		for name, order := range map[string]upstreamtest.Order{"write": upstreamtest.WriteFirst, "read": upstreamtest.ReadFirst} {
+			Convey("After a reset noticed by the "+name+" first, "+c.path, t, func() {
+				script := rawScript(func(r upstreamtest.Request) bool {
+					r.Send("%s\r\n%s", stampedHead(r, "200 OK"), c.part)
+					r.Reset()
+					return false
+				}, func(r upstreamtest.Request) bool {
+					r.Send("%s\r\n%s", stampedHead(r, "200 OK"), c.then)
+					_ = r.Conn.CloseWrite()
+					return true
+				})
+				first, second := newRawBackend("b1", script), newRawBackend("b2", script)
+				config := configuration()
+				config.Limits.BodyBytes = longUploadBytes
+				s := newSystemWithConfig(config, first, second)
+				defer s.close(first, second)
+				s.gateway.pool = upstream.NewPool(dialFirstInOrder(order))
+				response, body, err := s.send("POST", c.path, strings.Repeat("u", longUploadBytes), nil)
+				if c.want == "" {
+					So(err, ShouldBeNil)
+					So(response.StatusCode, ShouldEqual, http.StatusBadGateway)
+					return
+				}
+				So(err, ShouldBeNil)
+				So(response.StatusCode, ShouldEqual, http.StatusOK)
+				So(body, ShouldEqual, c.want)
+			})
+		}
+	}
+}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -143,10 +143,11 @@
 			continue
 		}
 		if request.Matches(response.Header) {
+			response.Body = newAnswerBody(e, response)
 			e.Response = response
 			return nil
 		}
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if !isFramed(response) {
 			return fmt.Errorf("%w and has no length", ErrMismatchedResponse)
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBodyBytes+1))
@@ -167,8 +168,7 @@
 		return
 	}
 	response := e.Response
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if response.Close || !framed || !e.bodyWritten() || e.conn.reader.Buffered() > 0 {
+	if response.Close || !isFramed(response) || !e.bodyWritten() || e.conn.reader.Buffered() > 0 {
 		discard(e.conn)
 		return
 	}
