upstream: refuse heads whose status is none of HTTP's

Callers could get an answer that followed a head with status 000, 001 or 101, and answers with a status from 600 to 999.

Cause: net/http reads any three digits as a status, also +20, and the loop over interim responses skipped all below 200. A change of protocol that nobody asked for was skipped in the same way, with what came behind it read as an answer.

Every head of a backend server, interim and skipped ones too, is read by Conn.readHead, which now refuses statuses outside 100 to 599, 101, and versions other than HTTP/1.

A head with 000 and a body was refused already, as its body is no head. Sound statuses, interim responses before them and HTTP/1.0 get through.

--- a/server/gateway/broken_answers_test.go
+++ b/server/gateway/broken_answers_test.go
@@ -96,3 +96,43 @@
 		}
 	}
 }
+
+// Guards against relaying an answer whose status is none of HTTP's.
+func TestAnswersWithAnInvalidStatus(t *testing.T) {
+	const body = "Content-Length: 6\r\n\r\nbroken"
+	for _, status := range []string{"000 Broken", "099 Broken", "600 Broken", "999 Broken"} {
+		checkNeverRelayed(t, "status "+status, func(r upstreamtest.Request) bool {
+			r.Send("%s%s", stampedHead(r, status), body)
+			return false
+		})
+	}
+	for _, status := range []string{"000 Broken", "101 Switching Protocols"} {
+		checkNeverRelayed(t, "a second head behind status "+status, func(r upstreamtest.Request) bool {
+			r.Send("%s\r\n%s%s", stampedHead(r, status), stampedHead(r, "200 OK"), body)
+			return false
+		})
+	}
+}
+
+// checkNeverRelayed checks that the invalid answer of a server reaches no caller: a request
+// that may be repeated gets another server's answer, any other a failure.
+func checkNeverRelayed(t *testing.T, name string, invalid func(upstreamtest.Request) bool) {
+	for path, want := range map[string]int{"/safe/x": http.StatusOK, "/stream/x": http.StatusOK, "/once/x": http.StatusBadGateway} {
+		Convey("An answer with "+name+" is not relayed, "+path, t, func() {
+			script := rawScript(invalid, func(r upstreamtest.Request) bool {
+				r.Send("%sContent-Length: 16\r\n\r\nid: 1\ndata: ok\n\n", stampedHead(r, "200 OK"))
+				return true
+			})
+			first, second := newRawBackend("b1", script), newRawBackend("b2", script)
+			s := newSystem(first, second)
+			defer s.close(first, second)
+			response, body, err := s.send("POST", path, "", nil)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, want)
+			So(body, ShouldNotEqual, "broken")
+			if want == http.StatusOK {
+				So(body, ShouldEqual, "id: 1\ndata: ok\n\n")
+			}
+		})
+	}
+}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -28,6 +28,8 @@
 	// ErrMismatchedResponse means that what the server sent is not a response to
 	// this request.
 	ErrMismatchedResponse = errors.New("response of backend server does not belong to this request")
+	// ErrInvalidResponse means that what the server sent is not a valid HTTP response.
+	ErrInvalidResponse = errors.New("response of backend server is not valid HTTP")
 )
 
 // End is how an exchange ended before its answer was complete.
@@ -83,8 +85,8 @@
 }
 
 // Do sends the request on the connection and reads the head of its response.
-// The end of ctx resets the connection. On failure it returns ErrInterrupted or
-// ErrMismatchedResponse.
+// The end of ctx resets the connection. On failure it returns ErrInterrupted,
+// ErrMismatchedResponse or ErrInvalidResponse.
 func (p *Pool) Do(ctx context.Context, conn *Conn, request Request) (*Exchange, error) {
 	exchange := &Exchange{conn: conn, pool: p}
 	exchange.stopContextWatch = context.AfterFunc(ctx, func() { reset(conn) })
@@ -133,6 +135,9 @@
 	methodOnly := &http.Request{Method: request.Method}
 	for range maxMismatchedResponses {
 		response, err := e.conn.readHead(methodOnly)
+		if errors.Is(err, ErrInvalidResponse) {
+			return err
+		}
 		if err != nil {
 			return fmt.Errorf("%w: receive: %w", ErrInterrupted, err)
 		}
--- a/server/upstream/head.go
+++ b/server/upstream/head.go
@@ -10,6 +10,12 @@
 // maxHeadBytes limits the size of a response's status line and headers.
 const maxHeadBytes = 64 << 10
 
+// The range of HTTP status codes. net/http reads any three digits.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // ErrHeadTooLarge means that a response's head exceeds maxHeadBytes.
 var ErrHeadTooLarge = errors.New("response head exceeds the size limit")
 
@@ -41,5 +47,23 @@
 	if err != nil && c.source.remaining <= 0 {
 		return nil, fmt.Errorf("%w of %d bytes", ErrHeadTooLarge, maxHeadBytes)
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, checkHead(response)
+}
+
+// checkHead returns ErrInvalidResponse for a head that net/http accepts although HTTP/1
+// does not allow it.
+func checkHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %s", ErrInvalidResponse, response.Proto)
+	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return fmt.Errorf("%w: status %.40q", ErrInvalidResponse, response.Status)
+	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: change of protocol that was not asked for", ErrInvalidResponse)
+	}
+	return nil
 }
