upstream: refuse heads and trailers with a blank in a field's name

Callers got answers in whose head the name of a field held a blank: with the line passed on, or, for "Content-Length : 6" and "Transfer-Encoding : chunked", with whatever came up to the end of the connection as the body, chunk sizes included.

Cause: net/http's parser keeps a name with a blank as it is, and such a field counts for nothing. It refuses control bytes and all else that is no token.

Conn.readHead, which reads all heads, now refuses such names; the body that all answers pass checks the trailers at its end, those of skipped answers too.

The cases with control bytes passed before and are kept. Folded lines, empty values and all token characters get through.

--- a/server/gateway/broken_answers_test.go
+++ b/server/gateway/broken_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -136,3 +137,19 @@
 		})
 	}
 }
+
+// Guards against relaying an answer with a field whose name is no token, or with a body that
+// is another one because that field gave its length.
+func TestAnswersWithInvalidFieldNames(t *testing.T) {
+	lines := []string{"Content-Length : 6", "Transfer-Encoding : chunked", "X Other: a", "X-Other\x01: a", "X\x00Other: a", "X-Other\t: a"}
+	for _, line := range lines {
+		checkNeverRelayed(t, fmt.Sprintf("the line %q", line), func(r upstreamtest.Request) bool {
+			r.Send("%s%s\r\n\r\nbroken", stampedHead(r, "200 OK"), line)
+			return false
+		})
+		checkNeverRelayed(t, fmt.Sprintf("the line %q and a length", line), func(r upstreamtest.Request) bool {
+			r.Send("%sContent-Length: 6\r\n%s\r\n\r\nbroken", stampedHead(r, "200 OK"), line)
+			return false
+		})
+	}
+}
--- a/server/upstream/body.go
+++ b/server/upstream/body.go
@@ -15,7 +15,7 @@
 var errConnectionState = errors.New("state of the connection is unknown")
 
 // answerBody reads the body of a response. It returns io.EOF only at the end of a whole
-// body.
+// body with valid trailers.
 //
 // A body with neither a length nor chunks ends with its connection, and only a FIN of the
 // server proves that it is whole. The end of the connection's bytes alone does not: after a
@@ -24,24 +24,31 @@
 type answerBody struct {
 	io.ReadCloser
 	exchange           *Exchange
+	response           *http.Response
 	endsWithConnection bool
 }
 
 func newAnswerBody(exchange *Exchange, response *http.Response) *answerBody {
 	return &answerBody{
-		ReadCloser: response.Body, exchange: exchange,
+		ReadCloser: response.Body, exchange: exchange, response: response,
 		endsWithConnection: !isFramed(response) && response.Body != http.NoBody,
 	}
 }
 
 func (b *answerBody) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
-	if b.endsWithConnection && errors.Is(err, io.EOF) {
-		if cut := b.exchange.checkOrderlyEnd(); cut != nil {
-			return n, cut
-		}
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
-	return n, err
+	if b.endsWithConnection {
+		err = b.exchange.checkOrderlyEnd()
+	} else {
+		err = checkFieldNames(b.response.Trailer)
+	}
+	if err != nil {
+		return n, err
+	}
+	return n, io.EOF
 }
 
 // isFramed reports whether the response's head tells where its body ends.
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -147,8 +147,8 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		response.Body = newAnswerBody(e, response)
 		if request.Matches(response.Header) {
-			response.Body = newAnswerBody(e, response)
 			e.Response = response
 			return nil
 		}
--- a/server/upstream/head.go
+++ b/server/upstream/head.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // maxHeadBytes limits the size of a response's status line and headers.
@@ -65,5 +66,16 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: change of protocol that was not asked for", ErrInvalidResponse)
 	}
+	return checkFieldNames(response.Header)
+}
+
+// checkFieldNames returns ErrInvalidResponse if the name of a field holds a blank. net/http
+// refuses all other bytes that a name must not hold.
+func checkFieldNames(fields http.Header) error {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: field name %.40q", ErrInvalidResponse, name)
+		}
+	}
 	return nil
 }
--- a/server/upstream/invalid_heads_test.go
+++ b/server/upstream/invalid_heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -58,3 +59,41 @@
 		So(body, ShouldEqual, "ok")
 	})
 }
+
+// Guards against passing over a field whose name is no token: net/http keeps a name with a
+// blank, under which a length or a transfer encoding counts for nothing.
+func TestInvalidFieldNames(t *testing.T) {
+	names := []string{
+		"Content-Length : 2", "Transfer-Encoding : chunked", "X Other: a", "X-Other\x01: a", "X\x00Other: a", "X-Other\t: a",
+		"X\rOther: a", "X-Other\x7f: a", "X-\u00dcber: a", "X\x1bOther: a", ": a", "X(Other): a", "no colon",
+	}
+	for _, line := range names {
+		for place, answer := range map[string]string{
+			"an answer":                   "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + line + "\r\n\r\nok",
+			"an answer with a length":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n" + line + "\r\n\r\nok",
+			"an interim response":         "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n" + line + "\r\n\r\n" + response("1", "ok"),
+			"another request's answer":    "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 0\r\n" + line + "\r\n\r\n" + response("1", "ok"),
+			"a trailer":                   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n",
+			"another's trailer":           "HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + line + "\r\n\r\n" + response("1", "ok"),
+			"the first line of an answer": "HTTP/1.1 200 OK\r\n" + line + "\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			Convey(fmt.Sprintf("The line %q in %s ends the exchange", line, place), t, func() {
+				_, err := exchangeWith(answer)
+				So(err, ShouldNotBeNil)
+			})
+		}
+	}
+	for _, line := range []string{"X-Other: a b\tc", "X-Other:a", "X-Other:", "x-other: \u00dcber", "X!#$%&'*+.^_`|~9: a", "X-Folded: a\r\n b"} {
+		Convey(fmt.Sprintf("The line %q gets through, also in a trailer and in an interim response", line), t, func() {
+			for _, answer := range []string{
+				"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n" + line + "\r\n\r\nok",
+				"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n",
+				"HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n" + line + "\r\n\r\n" + response("1", "ok"),
+			} {
+				body, err := exchangeWith(answer)
+				So(err, ShouldBeNil)
+				So(body, ShouldEqual, "ok")
+			}
+		})
+	}
+}
