intact: one check of answers for all readers, at the connection and the head

Plain services of the product's own interface had the same faults as backend servers on the users' platform: a part of an answer without a length counted as whole after a reset during a long upload, status 000 and 999 and 101 were handed on, and so were answers with "Content-Length : 2" or an invalid trailer.

Cause: net/http's transport reads them as the pool of upstream did. It closes a connection whose write has failed, but a read may meet the end before.

The check moves from the pool into the package intact: a connection that returns io.EOF only behind a FIN, used by upstream.Dial (pool, store, engines) and by the transport of the product's adapters and of the entries' calls to agents; and the check of heads and trailers, used by the pool and by those clients.

--- a/server/entry/attempt/agent_client.go
+++ b/server/entry/attempt/agent_client.go
@@ -12,6 +12,7 @@
 
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/server/entry/route"
+	"persimmonwind.dev/server/intact"
 	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/stream"
@@ -30,7 +31,7 @@
 }
 
 func newAgentClient(scheme string, transport http.RoundTripper) *agentClient {
-	return &agentClient{scheme: scheme, http: &http.Client{Transport: transport, CheckRedirect: httpapi.NoRedirect}}
+	return &agentClient{scheme: scheme, http: &http.Client{Transport: intact.Transport(transport), CheckRedirect: httpapi.NoRedirect}}
 }
 
 // send posts the work and returns the agent's response, or its refusal.
--- a/server/gateway/broken_answers_test.go
+++ b/server/gateway/broken_answers_test.go
@@ -44,9 +44,9 @@
 }
 
 // dialFirstInOrder returns a dial function whose first connection has the order.
-func dialFirstInOrder(order upstreamtest.Order) func(context.Context, string, string) (net.Conn, error) {
+func dialFirstInOrder(order upstreamtest.Order) upstreamtest.DialFunc {
 	var dialed atomic.Bool
-	inOrder := upstreamtest.Dialer(order)
+	inOrder := upstreamtest.InOrder(order, upstream.Dial)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if dialed.CompareAndSwap(false, true) {
 			return inOrder(ctx, network, address)
--- a/server/ports/httpapi/client.go
+++ b/server/ports/httpapi/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"persimmonwind.dev/server/intact"
 	"persimmonwind.dev/server/ports"
 )
 
@@ -29,8 +30,15 @@
 
 // NewTransport returns the transport that all adapters share.
 func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return intact.NewConn(conn), nil
+		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -44,7 +52,7 @@
 }
 
 func newClient(base string, transport http.RoundTripper) client {
-	return client{base: base, http: &http.Client{Transport: transport, CheckRedirect: NoRedirect}}
+	return client{base: base, http: &http.Client{Transport: intact.Transport(transport), CheckRedirect: NoRedirect}}
 }
 
 // NoRedirect makes an http.Client return a redirect as the answer. Following it
--- a/server/upstream/cut_answers_test.go
+++ b/server/upstream/cut_answers_test.go
@@ -52,7 +52,7 @@
 					return false
 				})
 				defer s.Stop()
-				_, err := upload(NewPool(upstreamtest.Dialer(order)), s.Address())
+				_, err := upload(NewPool(upstreamtest.InOrder(order, Dial)), s.Address())
 				So(err, ShouldNotBeNil)
 				So(EndOf(err), ShouldEqual, ResetByServer)
 			})
--- a/server/upstream/dial.go
+++ b/server/upstream/dial.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"persimmonwind.dev/server/intact"
 )
 
 const (
@@ -27,7 +29,8 @@
 	unackedTimeout    = 2500 * time.Millisecond
 )
 
-// Dial connects over TCP and enables the probes that detect unresponsive peers.
+// Dial connects over TCP and enables the probes that detect unresponsive peers. Reads of
+// the connection return io.EOF only if the peer has ended it in order.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
@@ -45,5 +48,9 @@
 			return setErr
 		},
 	}
-	return dialer.DialContext(ctx, network, address)
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return intact.NewConn(conn), nil
 }
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"syscall"
+
+	"persimmonwind.dev/server/intact"
 )
 
 const (
@@ -28,8 +30,6 @@
 	// ErrMismatchedResponse means that what the server sent is not a response to
 	// this request.
 	ErrMismatchedResponse = errors.New("response of backend server does not belong to this request")
-	// ErrInvalidResponse means that what the server sent is not a valid HTTP response.
-	ErrInvalidResponse = errors.New("response of backend server is not valid HTTP")
 )
 
 // End is how an exchange ended before its answer was complete.
@@ -86,7 +86,7 @@
 
 // Do sends the request on the connection and reads the head of its response.
 // The end of ctx resets the connection. On failure it returns ErrInterrupted,
-// ErrMismatchedResponse or ErrInvalidResponse.
+// ErrMismatchedResponse or intact.ErrInvalidResponse.
 func (p *Pool) Do(ctx context.Context, conn *Conn, request Request) (*Exchange, error) {
 	exchange := &Exchange{conn: conn, pool: p}
 	exchange.stopContextWatch = context.AfterFunc(ctx, func() { reset(conn) })
@@ -135,7 +135,7 @@
 	methodOnly := &http.Request{Method: request.Method}
 	for range maxMismatchedResponses {
 		response, err := e.conn.readHead(methodOnly)
-		if errors.Is(err, ErrInvalidResponse) {
+		if errors.Is(err, intact.ErrInvalidResponse) {
 			return err
 		}
 		if err != nil {
@@ -147,7 +147,6 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		response.Body = newAnswerBody(e, response)
 		if request.Matches(response.Header) {
 			e.Response = response
 			return nil
@@ -166,6 +165,11 @@
 	return fmt.Errorf("%w: %d in a row", ErrMismatchedResponse, maxMismatchedResponses)
 }
 
+// isFramed reports whether the response's head tells where its body ends.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // Finish ends an exchange whose body was read to its end and returns the
 // connection to the pool if it can serve another request.
 func (e *Exchange) Finish() {
--- a/server/upstream/head.go
+++ b/server/upstream/head.go
@@ -5,18 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
+
+	"persimmonwind.dev/server/intact"
 )
 
 // maxHeadBytes limits the size of a response's status line and headers.
 const maxHeadBytes = 64 << 10
 
-// The range of HTTP status codes. net/http reads any three digits.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
 // ErrHeadTooLarge means that a response's head exceeds maxHeadBytes.
 var ErrHeadTooLarge = errors.New("response head exceeds the size limit")
 
@@ -51,31 +46,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return response, checkHead(response)
-}
-
-// checkHead returns ErrInvalidResponse for a head that net/http accepts although HTTP/1
-// does not allow it.
-func checkHead(response *http.Response) error {
-	if response.ProtoMajor != 1 {
-		return fmt.Errorf("%w: version %s", ErrInvalidResponse, response.Proto)
-	}
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
-		return fmt.Errorf("%w: status %.40q", ErrInvalidResponse, response.Status)
-	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return fmt.Errorf("%w: change of protocol that was not asked for", ErrInvalidResponse)
-	}
-	return checkFieldNames(response.Header)
-}
-
-// checkFieldNames returns ErrInvalidResponse if the name of a field holds a blank. net/http
-// refuses all other bytes that a name must not hold.
-func checkFieldNames(fields http.Header) error {
-	for name := range fields {
-		if strings.Contains(name, " ") {
-			return fmt.Errorf("%w: field name %.40q", ErrInvalidResponse, name)
-		}
-	}
-	return nil
+	return response, intact.Check(response)
 }
--- a/server/upstream/invalid_heads_test.go
+++ b/server/upstream/invalid_heads_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"persimmonwind.dev/server/intact"
 	"persimmonwind.dev/server/upstream/upstreamtest"
 )
 
@@ -28,11 +29,11 @@
 	for _, status := range []string{"000 Broken", "000", "001 x", "099 x", "+20 x", "101 Switching Protocols", "600 x", "999 x"} {
 		Convey("A response with status "+status+" ends the exchange", t, func() {
 			_, err := exchangeWith("HTTP/1.1 " + status + "\r\n" + rest)
-			So(errors.Is(err, ErrInvalidResponse), ShouldBeTrue)
+			So(errors.Is(err, intact.ErrInvalidResponse), ShouldBeTrue)
 		})
 		Convey("So does one with status "+status+" before a sound answer", t, func() {
 			_, err := exchangeWith("HTTP/1.1 " + status + "\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n" + response("1", "ok"))
-			So(errors.Is(err, ErrInvalidResponse), ShouldBeTrue)
+			So(errors.Is(err, intact.ErrInvalidResponse), ShouldBeTrue)
 		})
 	}
 	for _, line := range []string{"HTTP/1.1 20 x", "HTTP/1.1 2000 x", "HTTP/1.1 2x0 x", "HTTP/1.1 -01 x", "HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/x.1 200 OK", "ICY 200 OK", ""} {
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -194,7 +194,7 @@
 // reset closes a connection and drops the bytes that its peer has not received
 // yet: an abandoned request must not arrive later.
 func reset(conn *Conn) {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // Without this the kernel would still deliver the bytes.
 	}
 	discard(conn)
--- a/server/upstream/upstreamtest/raw.go
+++ b/server/upstream/upstreamtest/raw.go
@@ -119,21 +119,23 @@
 // have met the reset with ReadFirst.
 const readFirstPrefix = 64 << 10
 
-// Dialer returns a dial function for connections on which reads and long writes notice a
-// reset in the order.
-func Dialer(order Order) func(ctx context.Context, network, address string) (net.Conn, error) {
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// InOrder returns a dial function for connections of dial on which reads and long writes
+// notice a reset in the order.
+func InOrder(order Order, dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		var dialer net.Dialer
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &orderedConn{TCPConn: conn.(*net.TCPConn), order: order, writeFailed: make(chan struct{}), readFailed: make(chan struct{})}, nil
+		return &orderedConn{Conn: conn, order: order, writeFailed: make(chan struct{}), readFailed: make(chan struct{})}, nil
 	}
 }
 
 type orderedConn struct {
-	*net.TCPConn
+	net.Conn
 	order                   Order
 	writeFailed, readFailed chan struct{}
 	writeOnce, readOnce     sync.Once
@@ -143,7 +145,7 @@
 	if c.order != ReadFirst {
 		await(c.writeFailed)
 	}
-	n, err := c.TCPConn.Read(buffer)
+	n, err := c.Conn.Read(buffer)
 	if err != nil {
 		c.readOnce.Do(func() { close(c.readFailed) })
 	}
@@ -153,13 +155,13 @@
 func (c *orderedConn) Write(data []byte) (int, error) {
 	written := 0
 	if c.order == ReadFirst && len(data) > readFirstPrefix {
-		n, err := c.TCPConn.Write(data[:readFirstPrefix])
+		n, err := c.Conn.Write(data[:readFirstPrefix])
 		if written += n; err != nil {
 			return written, err
 		}
 		await(c.readFailed)
 	}
-	n, err := c.TCPConn.Write(data[written:])
+	n, err := c.Conn.Write(data[written:])
 	if err != nil {
 		c.writeOnce.Do(func() { close(c.writeFailed) })
 		if c.order == WriteFirstUntold {
