intact, upstream: bound heads and bodies without end for all readers together

A server, engine, store or service in trouble that sends bytes without end could take the memory of the process that had called it.

Where: the clients of the store and of engines read heads of 10 MB (net/http's default), 4 MB of any body in any number of calls at once, and took an order's answer without end for an answer. The clients of the product's own ports did the same with 64 MB, and handed on the first 64 MB of a service's answer as the whole. Heads of backend servers were bounded in bytes, not in fields, each of which takes over a hundred bytes.

Transports now bound heads at 64 KB and bodies by intact.Limits: a size for one body, an error behind it, and a number of large bodies at once; further ones wait until their call's time is over. platform's clients get their transport from outside.

Held already and kept: bodies and events of backend servers (TestBodiesWithoutEnd), heads in bytes (TestHeadWithoutEnd). Beside each refusal sound answers are read, of the largest size too.

--- a/server/deployed/agent.go
+++ b/server/deployed/agent.go
@@ -31,6 +31,7 @@
 	log      *logrus.Entry
 	registry *prometheus.Registry
 	store    *platform.Store
+	engines  http.RoundTripper // Transport of calls to engines.
 	restores prometheus.Counter
 	follower atomic.Pointer[follower] // Replaced each time the agent becomes coordinator; nil before the first time.
 }
@@ -40,7 +41,8 @@
 	registry := newRegistry()
 	return &Agent{
 		settings: settings, log: log, registry: registry, restores: newRestoreCounter(registry),
-		store: platform.NewStore(settings.StoreAddress, upstream.Dial),
+		store:   platform.NewStore(settings.StoreAddress, upstream.StoreTransport(upstream.Dial)),
+		engines: upstream.EngineTransport(upstream.Dial),
 	}
 }
 
@@ -54,10 +56,10 @@
 	if err := errors.Join(callsErr, reportsErr, metricsErr); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	engine := platform.NewEngine(a.settings.BackendServer, upstream.Dial)
+	engine := platform.NewEngine(a.settings.BackendServer, a.engines)
 	mapAgent := &mapcontrol.Agent{
 		InstanceName: a.settings.Instance, Engine: engine, Store: a.store,
-		DirectEngine:   directEngines(),
+		DirectEngine:   a.directEngines(),
 		FollowTopology: a.followTopology,
 		Members:        a.members, EngineModel: a.engineModel, ClassAware: a.classAware, DemandStore: a.store,
 		Log: a.log, Metrics: mapcontrol.NewMetrics(a.registry),
@@ -83,14 +85,14 @@
 
 // directEngines returns a function that returns the client of an engine on another
 // machine. It creates one client per engine and reuses it.
-func directEngines() func(address string) mapcontrol.Engine {
+func (a *Agent) directEngines() func(address string) mapcontrol.Engine {
 	var mu sync.Mutex
 	clients := map[string]mapcontrol.Engine{}
 	return func(address string) mapcontrol.Engine {
 		mu.Lock()
 		defer mu.Unlock()
 		if clients[address] == nil {
-			clients[address] = platform.NewEngine(address, upstream.Dial)
+			clients[address] = platform.NewEngine(address, a.engines)
 		}
 		return clients[address]
 	}
--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -53,7 +53,7 @@
 func NewEntry(settings platform.Settings, log *logrus.Entry) *Entry {
 	registry := newRegistry()
 	e := &Entry{settings: settings, log: log, registry: registry}
-	store, restores := platform.NewStore(settings.StoreAddress, upstream.Dial), newRestoreCounter(registry)
+	store, restores := platform.NewStore(settings.StoreAddress, upstream.StoreTransport(upstream.Dial)), newRestoreCounter(registry)
 	e.quarantine = quarantine.New(settings.Instance, store, upstream.Dial, log, quarantine.NewMetrics(registry), restores)
 	e.gateway = gateway.New(settings, e.quarantine, log, gateway.NewMetrics(registry))
 	e.follower = newFollower(store, entryBatchDelay, watch.PollWait(settings.ContactTime), log, restores, e.gateway.Install)
--- a/server/entry/attempt/agent_client.go
+++ b/server/entry/attempt/agent_client.go
@@ -19,10 +19,7 @@
 	"persimmonwind.dev/server/wire"
 )
 
-const (
-	maxAnswerBytes  = 64 << 20
-	maxRefusalBytes = 64 << 10
-)
+const maxRefusalBytes = 64 << 10
 
 // agentClient sends attempts of requests to agents over HTTP.
 type agentClient struct {
@@ -31,7 +28,7 @@
 }
 
 func newAgentClient(scheme string, transport http.RoundTripper) *agentClient {
-	return &agentClient{scheme: scheme, http: &http.Client{Transport: intact.Transport(transport), CheckRedirect: httpapi.NoRedirect}}
+	return &agentClient{scheme: scheme, http: &http.Client{Transport: intact.Transport(transport, nil), CheckRedirect: httpapi.NoRedirect}}
 }
 
 // send posts the work and returns the agent's response, or its refusal.
@@ -102,8 +99,7 @@
 	if refusal != nil {
 		return Answer{}, refusal
 	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := httpapi.ReadAnswer(ctx, response.Body)
 	if err != nil {
 		return Answer{}, result.From(fmt.Errorf("%w", result.Errorf(result.OutcomeUnknown, "read answer: %v", err)))
 	}
--- a/server/intact/response.go
+++ b/server/intact/response.go
@@ -65,10 +65,16 @@
 	return n, err
 }
 
-// Transport returns a transport that fails with ErrInvalidResponse where Check does.
-func Transport(next http.RoundTripper) http.RoundTripper { return transport{next} }
+// Transport returns a transport that fails with ErrInvalidResponse where Check does. The
+// bodies of its responses keep the limits, if there are any.
+func Transport(next http.RoundTripper, limits *Limits) http.RoundTripper {
+	return transport{next: next, limits: limits}
+}
 
-type transport struct{ next http.RoundTripper }
+type transport struct {
+	next   http.RoundTripper
+	limits *Limits // nil for none.
+}
 
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.next.RoundTrip(request)
@@ -79,5 +85,8 @@
 		_ = response.Body.Close() // The response is not used.
 		return nil, err
 	}
+	if t.limits != nil {
+		response.Body = t.limits.Body(request.Context(), response.Body)
+	}
 	return response, nil
 }
--- a/server/ports/httpapi/client.go
+++ b/server/ports/httpapi/client.go
@@ -24,10 +24,27 @@
 	dialTimeout       = 2 * time.Second
 	idleTimeout       = 90 * time.Second
 	maxIdlePerHost    = 1024
+	maxHeadBytes      = 64 << 10
 	maxAnswerBytes    = 64 << 20
 	maxErrorTextBytes = 512
+
+	// smallAnswerBytes is the size up to which answers are read without regard to others.
+	smallAnswerBytes = 1 << 20
+	// maxLargeAnswers is the number of larger answers that a process reads at the same time.
+	maxLargeAnswers = 4
 )
 
+// answerLimits bounds the answers that are read as a whole.
+var answerLimits = intact.NewLimits(smallAnswerBytes, maxAnswerBytes, maxLargeAnswers)
+
+// ReadAnswer reads the whole body of an answer and closes it. It fails for a body that is
+// too long.
+func ReadAnswer(ctx context.Context, body io.ReadCloser) ([]byte, error) {
+	limited := answerLimits.Body(ctx, body)
+	defer func() { _ = limited.Close() }() // The body has been read, so a failed close loses nothing.
+	return io.ReadAll(limited)
+}
+
 // NewTransport returns the transport that all adapters share.
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -42,6 +59,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -52,7 +71,7 @@
 }
 
 func newClient(base string, transport http.RoundTripper) client {
-	return client{base: base, http: &http.Client{Transport: intact.Transport(transport), CheckRedirect: NoRedirect}}
+	return client{base: base, http: &http.Client{Transport: intact.Transport(transport, nil), CheckRedirect: NoRedirect}}
 }
 
 // NoRedirect makes an http.Client return a redirect as the answer. Following it
@@ -117,8 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := ReadAnswer(ctx, response.Body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ports.ErrUnknownOutcome, err)
 	}
--- a/server/ports/httpapi/service.go
+++ b/server/ports/httpapi/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -34,8 +33,7 @@
 	if err != nil {
 		return ports.ServiceAnswer{}, transportError(err)
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := ReadAnswer(ctx, response.Body)
 	if err != nil {
 		return ports.ServiceAnswer{}, fmt.Errorf("%w: %v", ports.ErrUnknownOutcome, err)
 	}
--- a/server/quarantine/quarantine_test.go
+++ b/server/quarantine/quarantine_test.go
@@ -28,7 +28,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for _, entry := range entries {
-		client := platform.NewStore(server.Listener.Addr().String(), upstream.Dial)
+		client := platform.NewStore(server.Listener.Addr().String(), upstream.StoreTransport(upstream.Dial))
 		q := New(entry, client, upstream.Dial, logrus.NewEntry(log), NewMetrics(prometheus.NewRegistry()), prometheus.NewCounter(prometheus.CounterOpts{Name: "restores"}))
 		go func() { _ = q.Run(ctx) }()
 		quarantines = append(quarantines, q)
--- a/server/upstream/dial.go
+++ b/server/upstream/dial.go
@@ -29,6 +29,9 @@
 	unackedTimeout    = 2500 * time.Millisecond
 )
 
+// DialFunc opens a connection to an address.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dial connects over TCP and enables the probes that detect unresponsive peers. Reads of
 // the connection return io.EOF only if the peer has ended it in order.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -61,14 +61,14 @@
 
 // Pool keeps idle connections by address.
 type Pool struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	dial DialFunc
 
 	mu   sync.Mutex
 	idle map[string][]*Conn // Idle connections by address, the most recently used last.
 }
 
 // NewPool returns an empty pool.
-func NewPool(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Pool {
+func NewPool(dial DialFunc) *Pool {
 	return &Pool{dial: dial, idle: map[string][]*Conn{}}
 }
 
--- a/server/upstream/upstream_test.go
+++ b/server/upstream/upstream_test.go
@@ -340,3 +340,46 @@
 		So(errors.Is(err, ErrMismatchedResponse), ShouldBeTrue)
 	})
 }
+
+// countingReader hands out a text again and again and counts its bytes.
+type countingReader struct {
+	text string
+	read int
+}
+
+func (r *countingReader) Read(buffer []byte) (int, error) {
+	n := copy(buffer, r.text[r.read%len(r.text):])
+	r.read += n
+	return n, nil
+}
+
+// Guards against heads of many small fields, each of which takes a hundred times its bytes
+// when it is parsed: those of 144 answers took 178 MB.
+func TestHeadOfManyFields(t *testing.T) {
+	Convey("A head of more fields than allowed is given up after the buffer that exceeds them", t, func() {
+		const field = "a:\n"
+		endless := &countingReader{text: field}
+		source := &headReader{conn: endless}
+		conn := &Conn{source: source, reader: bufio.NewReaderSize(io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\n"), source), readBufferBytes)}
+		_, err := conn.readHead(&http.Request{Method: http.MethodGet})
+		So(errors.Is(err, ErrHeadTooLarge), ShouldBeTrue)
+		So(endless.read, ShouldBeLessThanOrEqualTo, maxHeadFields*len(field)+readBufferBytes)
+	})
+	Convey("A head of many fields and a body of many lines are read", t, func() {
+		s := newFakeServer(func(_ int, conn net.Conn, reader *bufio.Reader) {
+			for {
+				if _, err := readHead(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"+strings.Repeat("X-Other: a\r\n", maxHeadFields-10)+"Content-Length: 30000\r\n\r\n"+strings.Repeat("\n", 30000))
+			}
+		})
+		defer s.listener.Close()
+		pool := NewPool(Dial)
+		for range 3 {
+			body, err := roundTrip(pool, s.address(), "1")
+			So(err, ShouldBeNil)
+			So(body, ShouldHaveLength, 30000)
+		}
+	})
+}
--- a/server/upstream/upstreamtest/raw.go
+++ b/server/upstream/upstreamtest/raw.go
@@ -120,7 +120,7 @@
 const readFirstPrefix = 64 << 10
 
 // DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // InOrder returns a dial function for connections of dial on which reads and long writes
 // notice a reset in the order.
