rpc: bound messages without end

A process of the system whose message has no end, or announces a long one, could take the memory of its peer: net/rpc's decoder follows whatever length a message gives, and a call that has timed out goes on being read.

--- a/server/rpc/rpc.go
+++ b/server/rpc/rpc.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		backoff = acceptBackoff
-		go server.ServeConn(connection)
+		go server.ServeConn(&boundedConn{Conn: connection})
 	}
 }
 
@@ -152,7 +152,7 @@
 		return nil, err
 	}
 	observed := &observedConn{Conn: connection, connectedAt: time.Now()}
-	return p.storeClient(address, &peerClient{Client: rpc.NewClient(observed), connection: observed}), nil
+	return p.storeClient(address, &peerClient{Client: rpc.NewClient(&boundedConn{Conn: observed}), connection: observed}), nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
