rpc: a closed connection gives the room of its large message back

A decoder that stops behind one message may have begun a large one with the same read, which then counted for good. Found by reading; the test of the room closes such a connection and failed before.

--- a/server/rpc/bound.go
+++ b/server/rpc/bound.go
@@ -37,10 +37,10 @@
 // bytes that follow and hold it, the most significant first.
 type boundedConn struct {
 	net.Conn
-	remaining   uint64 // Bytes of the current message that have not arrived yet.
-	lengthBytes int    // Bytes of the next message's length that have not arrived yet.
-	length      uint64 // The part of the length that has arrived.
-	isLarge     bool   // The current message is counted in largeMessages.
+	remaining   uint64      // Bytes of the current message that have not arrived yet.
+	lengthBytes int         // Bytes of the next message's length that have not arrived yet.
+	length      uint64      // The part of the length that has arrived.
+	isLarge     atomic.Bool // The current message is counted in largeMessages.
 }
 
 func (c *boundedConn) Read(buffer []byte) (int, error) {
@@ -55,6 +55,13 @@
 	return n, err
 }
 
+// Close closes the connection.
+func (c *boundedConn) Close() error {
+	err := c.Conn.Close()
+	c.endLarge()
+	return err
+}
+
 // follow keeps track of the messages in the bytes.
 func (c *boundedConn) follow(data []byte) error {
 	for len(data) > 0 {
@@ -101,14 +108,13 @@
 		largeMessages.Add(-1)
 		return errTooManyLarge
 	}
-	c.isLarge = true
+	c.isLarge.Store(true)
 	return c.SetReadDeadline(time.Now().Add(largeMessageTimeout))
 }
 
 // endLarge ends a large message, if there is one.
 func (c *boundedConn) endLarge() {
-	if c.isLarge {
-		c.isLarge = false
+	if c.isLarge.CompareAndSwap(true, false) {
 		largeMessages.Add(-1)
 		_ = c.SetReadDeadline(time.Time{}) // Fails only if the connection is closed.
 	}
--- a/server/rpc/bound_test.go
+++ b/server/rpc/bound_test.go
@@ -27,6 +27,7 @@
 
 func (c readerConn) Read(buffer []byte) (int, error) { return c.Reader.Read(buffer) }
 func (c readerConn) SetReadDeadline(time.Time) error { return nil }
+func (c readerConn) Close() error                    { return nil }
 
 // countedConn counts the bytes that are read.
 type countedConn struct {
@@ -155,6 +156,8 @@
 		So(err, ShouldBeNil)
 		So(begin(), ShouldBeNil)
 		So(begin(), ShouldEqual, errTooManyLarge)
+		So(conns[1].Close(), ShouldBeNil)
+		So(begin(), ShouldBeNil)
 		for _, conn := range conns {
 			_, _ = io.Copy(io.Discard, conn)
 		}
