leave: a stopping server loses no request that has just arrived

Cause, one for both: net/http counts a connection as idle until the next request on it is parsed. SetKeepAlivesEnabled(false) at SIGTERM closes it then, and the handler runs all the same and answers into a closed connection. Shutdown, called 3 s later, does so too.

leave.Server keeps the connections' states itself: from the signal on answers announce the end of their connection and idle ones stay open; when it drains, it closes a connection only while no handler has begun a request on it, and no handler begins on a closed one. Entries on the users' platform, the product's entries and its agents use it in place of the two calls.

--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -45,7 +45,7 @@
 	group    *group.Group  // Carries out changes of the group's expert map; nil if the backend server is a plain service.
 	traffic  net.Listener
 	health   net.Listener
-	server   *http.Server
+	server   *leave.Server
 	inFlight leave.InFlightCounter
 	metrics  *metrics.Metrics
 
@@ -77,7 +77,7 @@
 	a.node.AddReceiver("Agent", &receiver{agent: a})
 	a.executions = newExecutions(config.ID, a.node, a.service)
 	a.node.AddReceiver("Execution", &executionReceiver{executions: a.executions})
-	a.server = &http.Server{Handler: a.inFlight.Wrap(a.handler()), ReadHeaderTimeout: headerTimeout}
+	a.server = leave.NewServer(&http.Server{Handler: a.inFlight.Wrap(a.handler()), ReadHeaderTimeout: headerTimeout}, a.node.SecureListener(a.traffic))
 	return a
 }
 
@@ -93,7 +93,7 @@
 		group.Add(func() error { return a.group.Run(runCtx) }, func(error) { stop() })
 	}
 	group.Add(func() error { return a.node.Run(runCtx) }, func(error) { stop() })
-	group.Add(func() error { return leave.Serve(runCtx, a.server, a.node.SecureListener(a.traffic)) }, func(error) { _ = a.server.Close() })
+	group.Add(func() error { return a.server.Serve(runCtx) }, func(error) { stop(); _ = a.server.Close() })
 	if a.health != nil {
 		health := &http.Server{Handler: a.healthHandler(), ReadHeaderTimeout: headerTimeout}
 		group.Add(func() error { return leave.Serve(runCtx, health, a.health) }, func(error) { _ = health.Close() })
@@ -118,5 +118,5 @@
 		return fmt.Errorf("drain: %w", err)
 	}
 	wait.For(drain, time.Until(delayEnd))
-	return a.server.Shutdown(drain)
+	return a.server.Drain(drain)
 }
--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -16,6 +16,7 @@
 
 	"persimmonwind.dev/platform"
 	"persimmonwind.dev/server/gateway"
+	"persimmonwind.dev/server/leave"
 	"persimmonwind.dev/server/loadreport"
 	"persimmonwind.dev/server/logevent"
 	"persimmonwind.dev/server/quarantine"
@@ -81,17 +82,14 @@
 		return fmt.Errorf("listen for load reports: %w", err)
 	}
 	subscriber := loadreport.NewSubscriber(reports)
-	callerServer := &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: serverLog(e.log),
-	}
+	callers := e.newCallerServer(frontListener)
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 
 	var group run.Group
-	addServer(&group, callerServer, frontListener)
+	group.Add(func() error { return callers.Serve(controlCtx) }, func(error) { stopControl(); _ = callers.Close() })
 	stop := make(chan struct{})
-	group.Add(func() error { return e.drain(ctx, callerServer, stop) }, func(error) { close(stop) })
+	group.Add(func() error { return e.drain(ctx, callers, stop) }, func(error) { close(stop) })
 	addServer(&group, &http.Server{Handler: http.HandlerFunc(e.serveReady), ErrorLog: serverLog(e.log)}, readyListener)
 	addServer(&group, &http.Server{Handler: metricsHandler(e.registry), ErrorLog: serverLog(e.log)}, metrics)
 	group.Add(func() error { return e.follower.run(controlCtx) }, func(error) { stopControl() })
@@ -130,10 +128,18 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// newCallerServer returns the server for callers.
+func (e *Entry) newCallerServer(listener net.Listener) *leave.Server {
+	return leave.NewServer(&http.Server{
+		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: serverLog(e.log),
+	}, listener)
+}
+
 // drain waits until ctx ends, withdraws readiness and then waits for the requests in
 // flight, at most for the grace period. New connections are accepted for readinessLag,
 // until the balancer has noticed.
-func (e *Entry) drain(ctx context.Context, callerServer *http.Server, stop <-chan struct{}) error {
+func (e *Entry) drain(ctx context.Context, callers *leave.Server, stop <-chan struct{}) error {
 	select {
 	case <-ctx.Done():
 	case <-stop:
@@ -142,11 +148,11 @@
 	end := time.Now().Add(e.settings.GracePeriod - graceMargin)
 	e.draining.Store(true)
 	logevent.Write(e.log, logevent.ProcessLeaving, logrus.Fields{"grace_ms": e.settings.GracePeriod.Milliseconds()})
-	callerServer.SetKeepAlivesEnabled(false)
+	callers.Leave()
 	wait.For(context.Background(), readinessLag)
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
+	drainCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := callerServer.Shutdown(shutdownCtx)
+	err := callers.Drain(drainCtx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		logevent.Write(e.log, logevent.ProcessLeaving, logrus.Fields{"cut": "requests still in flight at the end of the grace period"})
 		return nil
--- a/server/deployed/serve.go
+++ b/server/deployed/serve.go
@@ -18,20 +18,15 @@
 // metricsPath is the URL path of the metrics.
 const metricsPath = "/metrics"
 
-// addServer adds an HTTP server that ends with the run group. A graceful shutdown
-// makes Serve return at once, so the server's actor then waits until the group
-// interrupts it.
+// addServer adds an HTTP server that ends with the run group.
 func addServer(group *run.Group, server *http.Server, listener net.Listener) {
-	ended := make(chan struct{})
 	group.Add(func() error {
 		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 		}
-		<-ended
 		return nil
 	}, func(error) {
-		close(ended)
 		_ = server.Close() // Closes connections that are still open.
 	})
 }
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -44,7 +44,7 @@
 	runner    *attempt.Runner
 	limiter   *limit.Limiter
 	listeners Listeners
-	callers   *http.Server
+	callers   *leave.Server
 	admin     *http.Server
 }
 
@@ -55,7 +55,7 @@
 	e := &Entry{settings: config, node: n, runner: attempt.NewRunner(n), limiter: limit.New(n, config.ID), listeners: listeners}
 	e.metrics = metrics.New(n.State)
 	e.metrics.RegisterInFlight(e.inFlight.Count)
-	e.callers = newServer(e.inFlight.Wrap(e.callersHandler()))
+	e.callers = leave.NewServer(newServer(e.inFlight.Wrap(e.callersHandler())), listeners.Callers)
 	e.admin = newServer(e.adminHandler())
 	return e
 }
@@ -81,7 +81,7 @@
 	defer stop()
 	group.Add(func() error { return e.node.Run(runCtx) }, func(error) { stop() })
 	group.Add(func() error { return e.limiter.Run(runCtx) }, func(error) { stop() })
-	group.Add(func() error { return leave.Serve(runCtx, e.callers, e.listeners.Callers) }, func(error) { _ = e.callers.Close() })
+	group.Add(func() error { return e.callers.Serve(runCtx) }, func(error) { stop(); _ = e.callers.Close() })
 	group.Add(func() error { return leave.Serve(runCtx, e.admin, e.listeners.Admin) }, func(error) { _ = e.admin.Close() })
 	group.Add(func() error { e.runner.Sweeper().Run(runCtx); return nil }, func(error) { stop() })
 	group.Add(func() error { return e.drainAfter(ctx, runCtx) }, func(error) { stop() })
@@ -97,9 +97,9 @@
 		return nil
 	}
 	e.node.Leave()
-	e.callers.SetKeepAlivesEnabled(false)
+	e.callers.Leave()
 	drain, cancel := context.WithTimeout(runCtx, leave.DrainTimeout)
 	defer cancel()
 	wait.For(drain, e.settings.LeaveDelay())
-	return e.callers.Shutdown(drain)
+	return e.callers.Drain(drain)
 }
--- a/server/entry/middleware.go
+++ b/server/entry/middleware.go
@@ -15,7 +15,8 @@
 // responseWriter records when the first byte of the response was written.
 type responseWriter struct {
 	http.ResponseWriter
-	firstByteAt time.Time // Time of the first byte; zero before it.
+	firstByteAt time.Time         // Time of the first byte; zero before it.
+	beforeFirst func(http.Header) // Completes the header before the first byte.
 }
 
 // Unwrap lets http.ResponseController reach the connection.
@@ -33,6 +34,7 @@
 
 func (w *responseWriter) recordFirstByte() {
 	if w.firstByteAt.IsZero() {
+		w.beforeFirst(w.Header())
 		w.firstByteAt = time.Now()
 	}
 }
@@ -46,7 +48,7 @@
 func (e *Entry) instrumented(next handlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
-		writer := &responseWriter{ResponseWriter: w}
+		writer := &responseWriter{ResponseWriter: w, beforeFirst: e.callers.Announce}
 		err := e.recoverPanics(next)(writer, r)
 		code := result.OK
 		if err != nil {
--- /dev/null
+++ b/server/leave/connections_test.go
@@ -0,0 +1,184 @@
+package leave
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"persimmonwind.dev/server/leave/leavetest"
+)
+
+// managed is a server with managed connections.
+type managed struct {
+	*leavetest.Listener
+	connections Connections
+	server      *http.Server
+	handled     atomic.Int32
+}
+
+func newManaged(handler http.HandlerFunc) *managed {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	m := &managed{Listener: leavetest.NewListener(listener)}
+	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.handled.Add(1)
+		handler(w, r)
+	})}
+	m.connections.Manage(m.server)
+	go func() { _ = m.server.Serve(m.Listener) }()
+	return m
+}
+
+// client is a caller with one connection.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (m *managed) connect() *client {
+	conn, err := net.Dial("tcp", m.Addr().String())
+	So(err, ShouldBeNil)
+	return &client{conn, bufio.NewReader(conn)}
+}
+
+func (c *client) send() { _, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }
+
+// receive reads an answer, and reports whether its connection will end.
+func (c *client) receive() (ends bool, err error) {
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return false, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.Close, err
+}
+
+func (m *managed) drain() <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		ended <- m.connections.Drain(ctx)
+	}()
+	return ended
+}
+
+// awaitDraining waits until Drain has closed the idle connections.
+func (m *managed) awaitDraining() {
+	for {
+		m.connections.mu.Lock()
+		draining := m.connections.draining != nil
+		m.connections.mu.Unlock()
+		if draining {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func answer(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
+
+// Guards against closing a kept connection on which a request has just arrived, and running
+// that request all the same.
+func TestConnectionsOfALeavingServer(t *testing.T) {
+	Convey("Given a kept connection", t, func() {
+		m := newManaged(answer)
+		defer func() { _ = m.server.Close() }()
+		c := m.connect()
+		c.send()
+		ends, err := c.receive()
+		So(err, ShouldBeNil)
+		So(ends, ShouldBeFalse)
+
+		Convey("a request that has arrived before the server leaves, and is parsed afterwards, is answered", func() {
+			release := m.Hold()
+			c.send()
+			<-m.Arrivals
+			m.connections.Leave()
+			release()
+			ends, err := c.receive()
+			So(err, ShouldBeNil)
+			So(ends, ShouldBeTrue)
+			So(m.handled.Load(), ShouldEqual, 2)
+		})
+		Convey("a request that is parsed after the connection was closed is not handled", func() {
+			release := m.Hold()
+			c.send()
+			<-m.Arrivals
+			drained := m.drain()
+			m.awaitDraining()
+			release()
+			_, err := c.receive()
+			So(err, ShouldNotBeNil)
+			So(<-drained, ShouldBeNil)
+			So(m.handled.Load(), ShouldEqual, 1)
+		})
+		Convey("an idle connection is closed", func() {
+			So(<-m.drain(), ShouldBeNil)
+			_, err := c.receive()
+			So(err, ShouldWrap, io.ErrUnexpectedEOF)
+		})
+	})
+	Convey("An answer that is under way is sent before its connection ends, whether its request began before or after", t, func() {
+		begun, proceed := make(chan struct{}, 2), make(chan struct{})
+		m := newManaged(func(w http.ResponseWriter, r *http.Request) {
+			begun <- struct{}{}
+			<-proceed
+			answer(w, r)
+		})
+		defer func() { _ = m.server.Close() }()
+		before, after := m.connect(), m.connect()
+		before.send()
+		<-begun
+		m.connections.Leave()
+		after.send()
+		<-begun
+		drained := m.drain()
+		m.awaitDraining()
+		close(proceed)
+		_, err := before.receive()
+		So(err, ShouldBeNil)
+		ends, err := after.receive()
+		So(err, ShouldBeNil)
+		So(ends, ShouldBeTrue)
+		So(<-drained, ShouldBeNil)
+	})
+	Convey("A new connection may send its first request, and then ends", t, func() {
+		m := newManaged(answer)
+		defer func() { _ = m.server.Close() }()
+		c := m.connect()
+		for open := 0; open == 0; time.Sleep(time.Millisecond) {
+			m.connections.mu.Lock()
+			open = len(m.connections.open)
+			m.connections.mu.Unlock()
+		}
+		drained := m.drain()
+		m.awaitDraining()
+		c.send()
+		ends, err := c.receive()
+		So(err, ShouldBeNil)
+		So(ends, ShouldBeTrue)
+		So(<-drained, ShouldBeNil)
+	})
+	Convey("Connections that do not end are waited for until the context ends", t, func() {
+		m := newManaged(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		defer func() { _ = m.server.Close() }()
+		c := m.connect()
+		c.send()
+		for m.handled.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		So(errors.Is(m.connections.Drain(ctx), context.DeadlineExceeded), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/server/leave/leavetest/listener.go
@@ -0,0 +1,57 @@
+// Package leavetest holds a listener for tests of servers that stop while requests arrive.
+package leavetest
+
+import (
+	"net"
+	"sync"
+)
+
+// Listener accepts connections on which the server can be kept from seeing what has
+// arrived: a request that was received and is not parsed yet.
+type Listener struct {
+	net.Listener
+	Arrivals chan struct{} // Gets an element for each read that is held.
+
+	mu   sync.Mutex
+	held chan struct{} // Closed by the release of Hold; nil before Hold.
+}
+
+// NewListener returns a listener that holds nothing yet.
+func NewListener(listener net.Listener) *Listener {
+	return &Listener{Listener: listener, Arrivals: make(chan struct{}, 16)}
+}
+
+// Hold keeps the server from seeing what arrives from now on until release is called.
+func (l *Listener) Hold() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := make(chan struct{})
+	l.held = held
+	return func() { close(held) }
+}
+
+// Accept accepts a connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn{Conn: accepted, listener: l}, nil
+}
+
+type conn struct {
+	net.Conn
+	listener *Listener
+}
+
+func (c conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.listener.mu.Lock()
+	held := c.listener.held
+	c.listener.mu.Unlock()
+	if n > 0 && held != nil {
+		c.listener.Arrivals <- struct{}{}
+		<-held
+	}
+	return n, err
+}
