gateway: late in the grace period, take only what will be answered

Callers whose request came late in the grace period of a stopping entry saw the connection end without an answer although a server had run it, also requests that may not be repeated (LOST).

Cause: the entry took requests until its end on connections that were opened before it stopped accepting, whatever time they had, passed on bodies that arrived late, and closed what was in flight when the period was over.

Now, after the 3 s in which the balancer may not have noticed, a request whose deadline or route timeout lies beyond the period is refused with 2005 and a Retry-After, once its body has arrived, and if it must not run twice again before it is sent. Half a second before the end all requests in flight are answered: 2005 if no server can have run them, otherwise 3004.

Sound requests that fit are served as before.

--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -32,6 +32,9 @@
 	// graceMargin is the part of the grace period that remains when waiting for
 	// requests in flight ends.
 	graceMargin = 200 * time.Millisecond
+	// answerMargin is the time in which callers receive the answers to the requests that are
+	// in flight until then.
+	answerMargin = 300 * time.Millisecond
 
 	headerTimeout  = 3 * time.Second  // Time to receive a request's headers; the users' configurations set the same value.
 	idleTimeout    = 60 * time.Second // How long an idle connection is kept; longer than the users' callers reuse a connection.
@@ -145,10 +148,12 @@
 	case <-stop:
 		return nil
 	}
-	end := time.Now().Add(e.settings.GracePeriod - graceMargin)
+	told := time.Now()
+	end := told.Add(e.settings.GracePeriod - graceMargin)
 	e.draining.Store(true)
 	logevent.Write(e.log, logevent.ProcessLeaving, logrus.Fields{"grace_ms": e.settings.GracePeriod.Milliseconds()})
 	callers.Leave()
+	e.gateway.Leave(told.Add(readinessLag), end.Add(-answerMargin))
 	wait.For(context.Background(), readinessLag)
 	drainCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -100,6 +100,8 @@
 	defer c.releaseBuffers()
 	ctx, cancel := context.WithDeadline(c.http.Context(), c.deadline)
 	defer cancel()
+	ctx, release := c.withinGrace(ctx)
+	defer release()
 	service := c.route.PickService(rand.Float64())
 	c.lastEventID = c.request.LastEventID
 	for attemptNumber := 1; ; attemptNumber++ {
@@ -136,6 +138,9 @@
 		return refused
 	}
 	if err != nil {
+		if c.possibleExecutions == 0 && c.gateway.isGraceOver() {
+			return leavingRefusal(errGraceOver.Error())
+		}
 		if c.possibleExecutions == 0 {
 			return result.Errorf(result.DeadlineTooShort, "no server slot became free before the deadline")
 		}
@@ -148,6 +153,12 @@
 		refusal.RetryAfter = placed.RetryAfter
 		return refusal
 	}
+	if !c.route.Repeatable() {
+		if refusal := c.refuseWhileLeaving(); refusal != nil {
+			c.gateway.dispatchers.release(service, placed, dispatch.CallerLeft)
+			return refusal
+		}
+	}
 	server := placed.Server
 	c.server = server.ID
 	if placed.PredictedFirstEvent > 0 && !c.responseStarted {
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -58,7 +58,7 @@
 	header := c.writer.Header()
 	copyHeader(header, complete.header)
 	header.Set("Content-Length", strconv.Itoa(len(complete.body)))
-	c.writer.WriteHeader(complete.status)
+	c.writeHead(complete.status)
 	c.write(complete.body)
 }
 
@@ -107,7 +107,7 @@
 	header := c.writer.Header()
 	platform.SetResponseHeader(header, c.request.AttemptID, failure.RetryAfter)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	c.writer.WriteHeader(description.HTTPStatus)
+	c.writeHead(description.HTTPStatus)
 	c.write([]byte(failure.Error() + "\n"))
 	c.recordEnd(failure)
 }
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -68,6 +68,9 @@
 	pool        *upstream.Pool
 	guard       Guard
 	buffers     bufferSpace
+	departure   atomic.Pointer[departure] // nil unless the entry is leaving.
+	grace       context.Context           // Ends with the grace period of the departure.
+	endGrace    context.CancelCauseFunc
 	log         *logrus.Entry
 	metrics     *Metrics
 
@@ -80,7 +83,9 @@
 // New returns a gateway without a snapshot, which refuses all requests until Install
 // is called.
 func New(settings platform.Settings, guard Guard, log *logrus.Entry, metrics *Metrics) *Gateway {
+	grace, endGrace := context.WithCancelCause(context.Background())
 	return &Gateway{
+		grace: grace, endGrace: endGrace,
 		guard: guard,
 		dispatchers: newDispatchers(dispatch.WarmUpLimit{
 			OverloadFactor: settings.WarmUpOvershoot, ExtraPerSecond: settings.WarmUpAllowance, Entries: assumedEntryCount,
@@ -205,6 +210,10 @@
 		call.respondError(refusal)
 		return
 	}
+	if refusal := call.refuseWhileLeaving(); refusal != nil {
+		call.respondError(refusal)
+		return
+	}
 	call.run()
 }
 
--- a/server/gateway/retry.go
+++ b/server/gateway/retry.go
@@ -21,6 +21,8 @@
 func (c *call) shouldRetry(attemptNumber int, failure *result.Error) bool {
 	reason := ""
 	switch {
+	case c.gateway.isGraceOver(), failure.Code == result.Leaving:
+		reason = "leaving"
 	case c.refusedByDispatcher:
 		reason = "refused_by_desk"
 	case c.quarantined:
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -210,6 +210,8 @@
 		return dispatch.CallerLeft, result.Errorf(result.Cancelled, "caller disconnected")
 	case errors.Is(context.Cause(ctx), errMigrated):
 		return dispatch.CallerLeft, result.Errorf(result.CutAnswer, "%v", context.Cause(ctx))
+	case errors.Is(context.Cause(ctx), errGraceOver):
+		return dispatch.CallerLeft, result.Errorf(result.DeadlineExceeded, "%v", errGraceOver)
 	case ctx.Err() != nil:
 		return dispatch.CallerLeft, result.Errorf(result.DeadlineExceeded, "no complete answer before the deadline")
 	default:
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -102,7 +102,7 @@
 	c.responseStarted = true
 	c.firstByteAt = time.Now()
 	copyHeader(c.writer.Header(), platform.EndToEndHeader(response.Header))
-	c.writer.WriteHeader(response.StatusCode)
+	c.writeHead(response.StatusCode)
 }
 
 // relayEvent sends one event to the caller at once.
