mapcontrol: an odd row of a lease keeps nobody from the lease

A row in the table of leases that can't be decoded kept every agent of its group from becoming coordinator; one with the largest number made the next number 0.

The number comes from the row's key. A row whose value can't be used or names another number counts as an acquisition by nobody, so its number isn't used again, and it is removed with the old ones; a key without a number is passed over.

The rule that a lease acquired recently is left alone holds beside them.

--- a/server/mapcontrol/lease.go
+++ b/server/mapcontrol/lease.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"persimmonwind.dev/platform"
@@ -19,6 +22,8 @@
 	// of a later era is higher than all of earlier ones, whatever rows the store has
 	// lost with them.
 	fencesPerEra = 1 << 20
+	// maxFence is far above the numbers of all eras; one more than it is a number too.
+	maxFence = 1 << 62
 	// obsoleteLeaseAge is the age from which the row of an earlier acquisition is
 	// removed. It is longer than a write may take to be carried out, so that no fencing
 	// number is free again while an agent may still try to acquire it.
@@ -64,6 +69,20 @@
 	return r.Holder != instance && r.TakenMS > 0 && age >= 0 && age < maxFirstCallDelay
 }
 
+// decodeLease decodes the row of an acquisition. One whose value can't be used counts as an
+// acquisition by nobody. It returns false if not even its key names one.
+func decodeLease(group string, row platform.Row) (leaseRow, bool) {
+	fence, err := strconv.ParseUint(strings.TrimPrefix(row.Key, leasePrefix(group)), 16, 64)
+	if err != nil || fence > maxFence {
+		return leaseRow{}, false
+	}
+	var acquired leaseRow
+	if json.Unmarshal(row.Value, &acquired) != nil || acquired.Fence != fence || acquired.TakenMS < 0 || acquired.TakenMS > math.MaxInt64/int64(time.Millisecond) {
+		return leaseRow{Fence: fence}, true
+	}
+	return acquired, true
+}
+
 // leaseKey returns the key of the row of one acquisition.
 func leaseKey(group string, fence uint64) string {
 	return fmt.Sprintf("%s%016x", leasePrefix(group), fence)
@@ -87,9 +106,9 @@
 	}
 	var latest leaseRow
 	for _, row := range rows.Rows {
-		var acquired leaseRow
-		if err := json.Unmarshal(row.Value, &acquired); err != nil {
-			return 0, nil, fmt.Errorf("decode lease %q: %w", row.Key, err)
+		acquired, ok := decodeLease(group, row)
+		if !ok {
+			continue
 		}
 		if acquired.Fence > latest.Fence {
 			latest = acquired
--- a/server/mapcontrol/lease_test.go
+++ b/server/mapcontrol/lease_test.go
@@ -159,6 +159,35 @@
 			acquiredFences[fence] = true
 		}
 	})
+	odd := map[string]string{
+		"no value": "", "no JSON": "{", "another type": `{"fence":"7"}`, "a large number": `{"fence":1e30}`, "another row's number": `{"holder":"x","fence":18446744073709551615,"taken_ms":1}`,
+		"a negative time": `{"holder":"x","fence":5,"taken_ms":-9223372036854775808}`, "a time out of range": `{"holder":"x","fence":5,"taken_ms":1e300}`,
+		"a deep value": strings.Repeat("[", 50_000),
+	}
+	for name, value := range odd {
+		Convey("A row with "+name+" keeps nobody from the lease, and its number is not used again", t, func() {
+			for _, key := range []string{leaseKey("g", 5), "g/odd", "g/ffffffffffffffff"} {
+				store := newLeaseStore()
+				first, err := acquire(store, "a", 0)
+				So(err, ShouldBeNil)
+				store.rows[key] = platform.Row{Key: key, Value: []byte(value)}
+				store.now += 2 * maxFirstCallDelay
+				second, err := acquire(store, "b", 0)
+				So(err, ShouldBeNil)
+				So(second, ShouldBeGreaterThan, first)
+				if key == leaseKey("g", 5) {
+					So(second, ShouldEqual, 6)
+				}
+				store.now += maxFirstCallDelay / 2
+				_, err = acquire(store, "c", 0)
+				So(errors.Is(err, errLeaseLost), ShouldBeTrue)
+				store.now += 2 * maxFirstCallDelay
+				third, err := acquire(store, "c", 0)
+				So(err, ShouldBeNil)
+				So(third, ShouldEqual, second+1)
+			}
+		})
+	}
 	Convey("Rows of old acquisitions can be removed, but not those whose numbers an agent may still try", t, func() {
 		store := newLeaseStore()
 		_, err := acquire(store, "a", 0)
