httpapi: an odd entry of the instance list costs itself alone

One entry with a field of another type kept the product's own instance list from being read at all; one with a port out of range was used.

Entries are decoded one by one. The sound ones are returned with ErrOddEntries, which the node logs; a list that is itself broken leaves the one before in use.

--- a/server/node/node.go
+++ b/server/node/node.go
@@ -191,9 +191,10 @@
 func (n *Node) watchInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		list, err := n.Store.Instances().List(ctx)
-		if err == nil {
+		if err == nil || errors.Is(err, ports.ErrOddEntries) {
 			n.members.setListed(list, time.Now())
-		} else if ctx.Err() == nil {
+		}
+		if err != nil && ctx.Err() == nil {
 			logevent.Write(n.Log(), logevent.InstanceListStale, logrus.Fields{"error": err.Error()})
 		}
 		wait.For(ctx, instancesInterval)
--- a/server/ports/httpapi/instances.go
+++ b/server/ports/httpapi/instances.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"persimmonwind.dev/server/ports"
@@ -21,7 +23,8 @@
 	list []ports.Instance
 }
 
-// List returns the instance list, which the caller must not modify.
+// List returns the instance list, which the caller must not modify. With ErrOddEntries it
+// lacks the entries that can't be used.
 func (i *Instances) List(ctx context.Context) ([]ports.Instance, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -29,18 +32,65 @@
 	if err != nil {
 		return nil, err
 	}
-	defer response.Body.Close()
+	body, err := ReadAnswer(ctx, response.Body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: read instance list: %v", ports.ErrUnknownOutcome, err)
+	}
 	if response.StatusCode == http.StatusNotModified {
 		return i.list, nil
 	}
-	var list []ports.Instance
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&list); err != nil {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(body, &entries); err != nil {
 		return nil, fmt.Errorf("%w: malformed instance list: %v", ports.ErrUnknownOutcome, err)
 	}
+	list, odd := decodeInstances(entries)
 	i.list, i.etag = list, response.Header.Get("ETag")
+	return list, odd
+}
+
+// decodeInstances returns the instances that can be used, and ErrOddEntries if there are
+// others.
+func decodeInstances(entries []json.RawMessage) ([]ports.Instance, error) {
+	list := make([]ports.Instance, 0, len(entries))
+	var first error
+	for _, entry := range entries {
+		var instance ports.Instance
+		err := json.Unmarshal(entry, &instance)
+		if err == nil {
+			err = checkInstance(instance)
+		}
+		if err == nil {
+			list = append(list, instance)
+		} else if first == nil {
+			first = err
+		}
+	}
+	if first != nil {
+		return list, fmt.Errorf("%w: %d of %d, the first: %.200s", ports.ErrOddEntries, len(entries)-len(list), len(entries), first.Error())
+	}
 	return list, nil
 }
 
+// checkInstance returns an error if the instance has no ID, or an address that can't be one.
+func checkInstance(instance ports.Instance) error {
+	if instance.ID == "" {
+		return errors.New("an instance has no ID")
+	}
+	for _, address := range []string{instance.Control, instance.Traffic} {
+		if address == "" {
+			continue
+		}
+		_, port, err := net.SplitHostPort(address)
+		if err != nil {
+			return fmt.Errorf("instance %.60q: %w", instance.ID, err)
+		}
+		if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+			return fmt.Errorf("instance %.60q: port %.20q", instance.ID, port)
+		}
+	}
+	return nil
+}
+
 // getIfChanged reads the path. The answer has status 304 and no body if the
 // content at the path still has the ETag.
 func (c client) getIfChanged(ctx context.Context, path, etag string) (*http.Response, error) {
