once: a row that can't be read keeps none of its page from being removed

It now passes over it and names it in the error. Also, a list of the store that is too long is an answer of the store, not a store that can't be reached, for elections.

--- a/server/mapcontrol/vote.go
+++ b/server/mapcontrol/vote.go
@@ -193,7 +193,7 @@
 // isStoreUnreachable reports whether an attempt to acquire the lease failed because the
 // store could not be reached, and not because of what it answered.
 func isStoreUnreachable(err error) bool {
-	for _, answer := range []error{errLeaseLost, platform.ErrConflict, platform.ErrRefused, platform.ErrEraChanged, context.Canceled} {
+	for _, answer := range []error{errLeaseLost, platform.ErrConflict, platform.ErrRefused, platform.ErrEraChanged, platform.ErrListTooLong, context.Canceled} {
 		if errors.Is(err, answer) {
 			return false
 		}
--- a/server/once/sweep.go
+++ b/server/once/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -89,14 +90,19 @@
 	return next, s.removeExpired(ctx, rows, now.Add(-Retention))
 }
 
-// removeExpired removes those of the rows that were last written before cutoff.
+// removeExpired removes those of the rows that were last written before cutoff. Rows that
+// can't be read stay, and the first of them is named in the error.
 func (s *Sweeper) removeExpired(ctx context.Context, rows []ports.Row, cutoff time.Time) error {
 	var tx ports.Tx
 	var objects []string
+	var odd error
 	for _, stored := range rows {
 		row, written, err := decode(stored.Value)
 		if err != nil {
-			return fmt.Errorf("check expiry of row %q: %w", stored.Key, err)
+			if odd == nil {
+				odd = fmt.Errorf("check expiry of row %q: %.200s", stored.Key, err.Error())
+			}
+			continue
 		}
 		if !written.Before(cutoff) {
 			continue
@@ -108,9 +114,9 @@
 		}
 	}
 	if len(tx.Writes) == 0 {
-		return nil
+		return odd
 	}
-	return s.commit(ctx, tx, objects)
+	return errors.Join(s.commit(ctx, tx, objects), odd)
 }
 
 // commit deletes the answers before the rows, so that a failure leaves no answer
--- a/server/once/sweep_test.go
+++ b/server/once/sweep_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	policy "persimmonwind.dev/policy/once"
+	"persimmonwind.dev/server/ports"
 	"persimmonwind.dev/server/ports/httpapi"
 	"persimmonwind.dev/server/standin/store"
 )
@@ -71,6 +72,25 @@
 			}
 		})
 
+		Convey("a row that can't be read keeps none of the others from being removed", func() {
+			key := policy.RowKey("org", "odd")
+			So(client.Commit(ctx, ports.Tx{Writes: []ports.Write{{Key: key, Value: []byte("{")}}}), ShouldBeNil)
+			problems, after := 0, ""
+			for page := 0; page == 0 || after != ""; page++ {
+				next, err := sweeper.sweepPage(ctx, policy.RowPrefix, after, time.Now().Add(Retention+time.Hour))
+				if err != nil {
+					problems++
+				}
+				after = next
+			}
+			So(removed, ShouldEqual, 250)
+			So(problems, ShouldEqual, 1)
+			listed, err := client.List(ctx, policy.RowPrefix, "", 10)
+			So(err, ShouldBeNil)
+			So(listed, ShouldHaveLength, 1)
+			So(listed[0].Key, ShouldEqual, key)
+		})
+
 		Convey("a row that was written after it was listed is kept", func() {
 			listed, err := client.List(ctx, policy.RowPrefix, "", 1)
 			So(err, ShouldBeNil)
