--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -148,12 +148,12 @@
 	case <-stop:
 		return nil
 	}
-	told := time.Now()
-	end := told.Add(e.settings.GracePeriod - graceMargin)
+	leavingSince := time.Now()
+	end := leavingSince.Add(e.settings.GracePeriod - graceMargin)
 	e.draining.Store(true)
 	logevent.Write(e.log, logevent.ProcessLeaving, logrus.Fields{"grace_ms": e.settings.GracePeriod.Milliseconds()})
 	callers.Leave()
-	e.gateway.Leave(told.Add(readinessLag), end.Add(-answerMargin))
+	e.gateway.Leave(leavingSince.Add(readinessLag), end.Add(-answerMargin))
 	wait.For(context.Background(), readinessLag)
 	drainCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/server/deployed/odd_rows_test.go
+++ b/server/deployed/malformed_rows_test.go
@@ -12,9 +12,9 @@
 	"persimmonwind.dev/platform/platformtest"
 )
 
-// Guards against entries that use the odd rows of another writer in the list of servers, end
+// Guards against entries that use the malformed rows in the list of servers, end
 // because of them, or follow the list no more.
-func TestEntriesBesideOddRows(t *testing.T) {
+func TestEntriesBesideMalformedRows(t *testing.T) {
 	const (
 		interval = 20 * time.Millisecond
 		period   = 2 * time.Second
@@ -34,12 +34,12 @@
 		callers.Wait()
 	}
 	for _, service := range []string{platformtest.PlainService, platformtest.EngineService} {
-		for name, value := range platformtest.OddServerRows(service) {
+		for name, value := range platformtest.MalformedServerRows(service) {
 			f.store.PutBytes(platform.TableServers, service+" with "+name, []byte(value))
 		}
 	}
 	call()
-	// The list is followed behind the odd rows.
+	// The list is followed behind the malformed rows.
 	const added = fleetEngines + fleetPlain
 	f.mu.Lock()
 	f.limits[added] = "1000" // Counts its requests.
@@ -53,6 +53,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.arrived[added]) == 0 {
-		t.Error("a server that was added behind the odd rows got no request")
+		t.Error("a server that was added behind the malformed rows got no request")
 	}
 }
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -68,8 +68,8 @@
 	pool        *upstream.Pool
 	guard       Guard
 	buffers     bufferSpace
-	departure   atomic.Pointer[departure] // nil unless the entry is leaving.
-	grace       context.Context           // Ends with the grace period of the departure.
+	shutdown    atomic.Pointer[shutdown] // nil unless the entry is leaving.
+	grace       context.Context          // Ends with the grace period.
 	endGrace    context.CancelCauseFunc
 	log         *logrus.Entry
 	metrics     *Metrics
--- a/server/gateway/leaving.go
+++ b/server/gateway/leaving.go
@@ -14,17 +14,17 @@
 // errGraceOver ends the requests that are in flight at the end of the grace period.
 var errGraceOver = errors.New("the entry has stopped before the answer was complete")
 
-// departure is the planned stop of the entry.
-type departure struct {
-	takeAllUntil time.Time // Until then callers may not know, so every request is taken.
-	answerBy     time.Time // Every request in flight is answered at this time, whatever its state.
+// shutdown is the planned stop of the entry.
+type shutdown struct {
+	acceptUntil time.Time // Until then callers may not know, so every request is taken.
+	answerBy    time.Time // Every request in flight is answered at this time, whatever its state.
 }
 
-// Leave prepares the planned stop of the entry. Requests that arrive after takeAllUntil are
+// Leave prepares the planned stop of the entry. Requests that arrive after acceptUntil are
 // refused unless they end before answerBy in any case; at answerBy all others in flight are
 // answered, or cut if their answer has begun.
-func (g *Gateway) Leave(takeAllUntil, answerBy time.Time) {
-	g.departure.Store(&departure{takeAllUntil: takeAllUntil, answerBy: answerBy})
+func (g *Gateway) Leave(acceptUntil, answerBy time.Time) {
+	g.shutdown.Store(&shutdown{acceptUntil: acceptUntil, answerBy: answerBy})
 	time.AfterFunc(time.Until(answerBy), func() { g.endGrace(errGraceOver) })
 }
 
@@ -34,8 +34,8 @@
 // refuseWhileLeaving returns the refusal of a request that was not sent yet and might not
 // end before the entry does, or nil.
 func (c *call) refuseWhileLeaving() *result.Error {
-	departure := c.gateway.departure.Load()
-	if departure == nil || time.Now().Before(departure.takeAllUntil) || !c.deadline.After(departure.answerBy) {
+	shutdown := c.gateway.shutdown.Load()
+	if shutdown == nil || time.Now().Before(shutdown.acceptUntil) || !c.deadline.After(shutdown.answerBy) {
 		return nil
 	}
 	return leavingRefusal("the request may last longer than the entry")
@@ -59,7 +59,7 @@
 
 // writeHead sends the status and the headers to the caller.
 func (c *call) writeHead(status int) {
-	if c.gateway.departure.Load() != nil {
+	if c.gateway.shutdown.Load() != nil {
 		c.writer.Header().Set("Connection", "close")
 	}
 	c.writer.WriteHeader(status)
--- a/server/intact/conn.go
+++ b/server/intact/conn.go
@@ -35,10 +35,10 @@
 }
 
 // Read reads bytes. It returns syscall.ECONNRESET at the end of the bytes if the peer has
-// not ended the connection in order.
+// not closed the connection in an orderly way.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
-	if errors.Is(err, io.EOF) && !c.endedInOrder() {
+	if errors.Is(err, io.EOF) && !c.closedOrderly() {
 		return n, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
 	}
 	return n, err
@@ -65,9 +65,9 @@
 	return io.Copy(writer, struct{ io.Reader }{c})
 }
 
-// endedInOrder reports whether the peer has sent a FIN and no reset. It is called at the
+// closedOrderly reports whether the peer has sent a FIN and no reset. It is called at the
 // end of the received bytes.
-func (c *Conn) endedInOrder() bool {
+func (c *Conn) closedOrderly() bool {
 	state, err := c.state()
 	if err != nil {
 		// Without a write that fails or is under way, none has taken the error of a reset.
--- a/server/leave/connections.go
+++ b/server/leave/connections.go
@@ -29,7 +29,8 @@
 
 type connectionKey struct{}
 
-// Manage makes the server, which has not started yet, report its connections and pass its requests by them.
+// Manage makes the server report its connections and pass its requests by them. The server
+// must not have been started.
 func (c *Connections) Manage(server *http.Server) {
 	c.open = map[net.Conn]*connection{}
 	server.Handler = c.wrap(server.Handler)
--- a/server/mapcontrol/lease_test.go
+++ b/server/mapcontrol/lease_test.go
@@ -159,12 +159,12 @@
 			acquiredFences[fence] = true
 		}
 	})
-	odd := map[string]string{
+	malformed := map[string]string{
 		"no value": "", "no JSON": "{", "another type": `{"fence":"7"}`, "a large number": `{"fence":1e30}`, "another row's number": `{"holder":"x","fence":18446744073709551615,"taken_ms":1}`,
 		"a negative time": `{"holder":"x","fence":5,"taken_ms":-9223372036854775808}`, "a time out of range": `{"holder":"x","fence":5,"taken_ms":1e300}`,
 		"a deep value": strings.Repeat("[", 50_000),
 	}
-	for name, value := range odd {
+	for name, value := range malformed {
 		Convey("A row with "+name+" keeps nobody from the lease, and its number is not used again", t, func() {
 			for _, key := range []string{leaseKey("g", 5), "g/odd", "g/ffffffffffffffff"} {
 				store := newLeaseStore()
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -191,7 +191,7 @@
 func (n *Node) watchInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		list, err := n.Store.Instances().List(ctx)
-		if err == nil || errors.Is(err, ports.ErrOddEntries) {
+		if err == nil || errors.Is(err, ports.ErrMalformedEntries) {
 			n.members.setListed(list, time.Now())
 		}
 		if err != nil && ctx.Err() == nil {
--- a/server/once/sweep.go
+++ b/server/once/sweep.go
@@ -95,12 +95,12 @@
 func (s *Sweeper) removeExpired(ctx context.Context, rows []ports.Row, cutoff time.Time) error {
 	var tx ports.Tx
 	var objects []string
-	var odd error
+	var malformed error
 	for _, stored := range rows {
 		row, written, err := decode(stored.Value)
 		if err != nil {
-			if odd == nil {
-				odd = fmt.Errorf("check expiry of row %q: %.200s", stored.Key, err.Error())
+			if malformed == nil {
+				malformed = fmt.Errorf("check expiry of row %q: %.200s", stored.Key, err.Error())
 			}
 			continue
 		}
@@ -114,9 +114,9 @@
 		}
 	}
 	if len(tx.Writes) == 0 {
-		return odd
+		return malformed
 	}
-	return errors.Join(s.commit(ctx, tx, objects), odd)
+	return errors.Join(s.commit(ctx, tx, objects), malformed)
 }
 
 // commit deletes the answers before the rows, so that a failure leaves no answer
--- a/server/ports/httpapi/instances.go
+++ b/server/ports/httpapi/instances.go
@@ -23,7 +23,7 @@
 	list []ports.Instance
 }
 
-// List returns the instance list, which the caller must not modify. With ErrOddEntries it
+// List returns the instance list, which the caller must not modify. With ErrMalformedEntries it
 // lacks the entries that can't be used.
 func (i *Instances) List(ctx context.Context) ([]ports.Instance, error) {
 	i.mu.Lock()
@@ -43,12 +43,12 @@
 	if err := json.Unmarshal(body, &entries); err != nil {
 		return nil, fmt.Errorf("%w: malformed instance list: %v", ports.ErrUnknownOutcome, err)
 	}
-	list, odd := decodeInstances(entries)
+	list, malformed := decodeInstances(entries)
 	i.list, i.etag = list, response.Header.Get("ETag")
-	return list, odd
+	return list, malformed
 }
 
-// decodeInstances returns the instances that can be used, and ErrOddEntries if there are
+// decodeInstances returns the instances that can be used, and ErrMalformedEntries if there are
 // others.
 func decodeInstances(entries []json.RawMessage) ([]ports.Instance, error) {
 	list := make([]ports.Instance, 0, len(entries))
@@ -66,7 +66,7 @@
 		}
 	}
 	if first != nil {
-		return list, fmt.Errorf("%w: %d of %d, the first: %.200s", ports.ErrOddEntries, len(entries)-len(list), len(entries), first.Error())
+		return list, fmt.Errorf("%w: %d of %d, the first: %.200s", ports.ErrMalformedEntries, len(entries)-len(list), len(entries), first.Error())
 	}
 	return list, nil
 }
--- a/server/ports/httpapi/instances_test.go
+++ b/server/ports/httpapi/instances_test.go
@@ -51,22 +51,22 @@
 	})
 }
 
-// Guards against an odd entry that keeps the whole list from being read.
-func TestOddInstances(t *testing.T) {
+// Guards against a malformed entry that keeps the whole list from being read.
+func TestMalformedInstances(t *testing.T) {
 	const sound = `{"id":"%s","role":"agent","control":"10.0.0.1:80","traffic":"host:65535"}`
-	odd := map[string]string{
+	malformed := map[string]string{
 		"a number as its ID": `{"id":7}`, "no ID": `{}`, "null": `null`, "a text": `"x"`, "a list": `[]`, "a deep value": `{"id":"odd","role":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
 		"a port out of range": `{"id":"odd","control":"10.0.0.1:65536"}`, "port 0": `{"id":"odd","traffic":"10.0.0.1:0"}`, "no port": `{"id":"odd","traffic":"10.0.0.1"}`,
 		"a large number": `{"id":"odd","leaving":1e999}`,
 	}
-	for name, entry := range odd {
+	for name, entry := range malformed {
 		Convey("A list is read without its entry that is or has "+name, t, func() {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = fmt.Fprintf(w, "["+sound+",%s,"+sound+"]", "a", entry, "b")
 			}))
 			defer server.Close()
 			list, err := httpapi.NewStore(server.URL, httpapi.NewTransport()).Instances().List(context.Background())
-			So(errors.Is(err, ports.ErrOddEntries), ShouldBeTrue)
+			So(errors.Is(err, ports.ErrMalformedEntries), ShouldBeTrue)
 			So(list, ShouldHaveLength, 2)
 			So([]string{list[0].ID, list[1].ID}, ShouldResemble, []string{"a", "b"})
 		})
--- a/server/ports/ports.go
+++ b/server/ports/ports.go
@@ -24,9 +24,9 @@
 	ErrUnavailable = errors.New("service unavailable, no effect")
 	// ErrUnknownOutcome means that the request may or may not have taken effect.
 	ErrUnknownOutcome = errors.New("outcome unknown")
-	// ErrOddEntries means that a list has entries that can't be used. The others are
+	// ErrMalformedEntries means that a list has entries that can't be used. The others are
 	// returned with it.
-	ErrOddEntries = errors.New("entries of the list can't be used")
+	ErrMalformedEntries = errors.New("entries of the list can't be used")
 	// ErrNotFound means that the requested object or generation does not exist.
 	ErrNotFound = errors.New("not found")
 	// ErrFenced means that an order carried an outdated fencing number.
