Tests: chunks and trailers without end, whole answers before a reset, late streams

All hold already: net/http bounds a chunk's line, extensions and trailers; an answer that tells its end and has arrived is whole whichever side notices the reset first; streams that come late in the grace period are refused.

--- a/server/deployed/planned_stop_test.go
+++ b/server/deployed/planned_stop_test.go
@@ -53,11 +53,13 @@
 	route := func(name string, kind topology.Kind) topology.Route {
 		return topology.Route{Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: 1, Timeout: 20 * time.Second, Objective: time.Second, Targets: []topology.Target{{Service: "s", Weight: 1}}}
 	}
+	resumable := route("resumable", topology.Stream)
+	resumable.Resumable, resumable.MaxAttempts = true, 2
 	state := topology.New()
 	for _, event := range []reduce.Event{
 		topology.ConfigurationRead{Config: &topology.Configuration{
 			Version: 1, Services: map[string]topology.Service{"s": {Name: "s"}},
-			Routes: []topology.Route{route("once", topology.NonIdempotent), route("safe", topology.Idempotent)},
+			Routes: []topology.Route{route("once", topology.NonIdempotent), route("safe", topology.Idempotent), route("stream", topology.Stream), resumable},
 		}},
 		topology.ServersListed{Servers: []topology.Server{{ID: "b", Service: "s", Address: s.server.Address(), Slots: 50}}},
 	} {
@@ -145,6 +147,9 @@
 			stopCase{path: path, at: 2 * time.Second, upload: 3 * time.Second, work: 4 * time.Second, deadline: 8 * time.Second},
 		)
 	}
+	for _, at := range []time.Duration{3500 * time.Millisecond, 5500 * time.Millisecond} {
+		cases = append(cases, stopCase{path: "/stream/", at: at, deadline: 8 * time.Second}, stopCase{path: "/resumable/", at: at, deadline: 8 * time.Second})
+	}
 	s := startStoppingEntry()
 	defer s.server.Stop()
 	told := time.Now().Add(1500 * time.Millisecond)
--- a/server/upstream/cut_answers_test.go
+++ b/server/upstream/cut_answers_test.go
@@ -58,6 +58,24 @@
 			})
 		}
 	}
+	for name, order := range orders {
+		for _, whole := range []string{
+			"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nwhole", "HTTP/1.1 413 x\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nwhole",
+			"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		} {
+			Convey("A reset that is noticed "+name+" takes nothing from an answer that tells its end and has arrived, "+whole[9:12]+whole[21:], t, func() {
+				s := upstreamtest.NewRawServer(func(r upstreamtest.Request) bool {
+					r.Send("%s", whole)
+					r.Reset()
+					return false
+				})
+				defer s.Stop()
+				body, err := upload(NewPool(upstreamtest.InOrder(order, Dial)), s.Address())
+				So(err, ShouldBeNil)
+				So(body, ShouldEqual, "whole")
+			})
+		}
+	}
 	sound := map[string]func(upstreamtest.Request) bool{
 		"reads on": func(r upstreamtest.Request) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
--- a/server/upstream/upstream_test.go
+++ b/server/upstream/upstream_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"persimmonwind.dev/server/upstream/upstreamtest"
 )
 
 // fakeServer is a backend server that serves each connection with a function.
@@ -341,6 +343,34 @@
 	})
 }
 
+// Guards against chunks and trailers without end.
+func TestChunksWithoutEnd(t *testing.T) {
+	const allowed = 16 << 20 // Includes the bytes in socket buffers.
+	cases := map[string]struct{ head, more string }{
+		"a chunk's size":             {"\r\n", "0"},
+		"a chunk's extension":        {"\r\n2;x=", "y"},
+		"extensions of small chunks": {"\r\n", "1;" + strings.Repeat("x", 3000) + "\r\no\r\n"},
+		"a trailer":                  {"\r\n2\r\nok\r\n0\r\nX-Other: ", "y"},
+		"trailers":                   {"\r\n2\r\nok\r\n0\r\n", "X-Other: y\r\n"},
+	}
+	for _, id := range []string{"1", "other"} {
+		for name, c := range cases {
+			Convey("An answer to request "+id+" with "+name+" without end is given up after a bounded number of bytes", t, func() {
+				sent := make(chan int, 1)
+				s := upstreamtest.NewRawServer(func(r upstreamtest.Request) bool {
+					r.Send("HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n%s", id, c.head)
+					sent <- r.SendWithoutEnd([]byte(strings.Repeat(c.more, max(1, 4096/len(c.more)))), 4*allowed)
+					return false
+				})
+				defer s.Stop()
+				_, err := roundTrip(NewPool(Dial), s.Address(), "1")
+				So(err, ShouldNotBeNil)
+				So(<-sent, ShouldBeLessThan, allowed)
+			})
+		}
+	}
+}
+
 // countingReader hands out a text again and again and counts its bytes.
 type countingReader struct {
 	text string
