leave: close idle connections at the signal, but for those on which something arrived

The entry on the users' platform closes idle connections at the signal again. One on which bytes have arrived, in the socket or read in part, stays: its request is served. One whose bytes were read and are dropped is never handled. leave.Server observes the reads of its connections for that.

--- a/server/deployed/entry.go
+++ b/server/deployed/entry.go
@@ -152,7 +152,7 @@
 	end := leavingSince.Add(e.settings.GracePeriod - graceMargin)
 	e.draining.Store(true)
 	logevent.Write(e.log, logevent.ProcessLeaving, logrus.Fields{"grace_ms": e.settings.GracePeriod.Milliseconds()})
-	callers.Leave()
+	callers.CloseIdle() // Their callers turn to other entries, which lets this one end sooner.
 	e.gateway.Leave(leavingSince.Add(readinessLag), end.Add(-answerMargin))
 	wait.For(context.Background(), readinessLag)
 	drainCtx, cancel := context.WithDeadline(context.Background(), end)
--- a/server/leave/connections_test.go
+++ b/server/leave/connections_test.go
@@ -19,21 +19,19 @@
 // managed is a server with managed connections.
 type managed struct {
 	*leavetest.Listener
-	connections Connections
-	server      *http.Server
-	handled     atomic.Int32
+	server  *Server
+	handled atomic.Int32
 }
 
 func newManaged(handler http.HandlerFunc) *managed {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	m := &managed{Listener: leavetest.NewListener(listener)}
-	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	m.server = NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		m.handled.Add(1)
 		handler(w, r)
-	})}
-	m.connections.Manage(m.server)
-	go func() { _ = m.server.Serve(m.Listener) }()
+	})}, m.Listener)
+	go func() { _ = m.server.Serve(context.Background()) }()
 	return m
 }
 
@@ -67,7 +65,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		ended <- m.connections.Drain(ctx)
+		ended <- m.server.Drain(ctx)
 	}()
 	return ended
 }
@@ -75,9 +73,9 @@
 // awaitDraining waits until Drain has closed the idle connections.
 func (m *managed) awaitDraining() {
 	for {
-		m.connections.mu.Lock()
-		draining := m.connections.draining != nil
-		m.connections.mu.Unlock()
+		m.server.connections.mu.Lock()
+		draining := m.server.connections.draining != nil
+		m.server.connections.mu.Unlock()
 		if draining {
 			return
 		}
@@ -103,7 +101,7 @@
 			release := m.Hold()
 			c.send()
 			<-m.Arrivals
-			m.connections.Leave()
+			m.server.Leave()
 			release()
 			ends, err := c.receive()
 			So(err, ShouldBeNil)
@@ -128,6 +126,48 @@
 			So(err, ShouldWrap, io.ErrUnexpectedEOF)
 		})
 	})
+	Convey("A request that has arrived and was not read yet is answered although idle connections are closed", t, func() {
+		begun, proceed := make(chan struct{}, 2), make(chan struct{})
+		m := newManaged(func(w http.ResponseWriter, r *http.Request) {
+			begun <- struct{}{}
+			<-proceed
+			answer(w, r)
+		})
+		defer func() { _ = m.server.Close() }()
+		c := m.connect()
+		c.send()
+		<-begun
+		release := m.HoldUnread()
+		close(proceed)
+		_, err := c.receive()
+		So(err, ShouldBeNil)
+		c.send()
+		time.Sleep(20 * time.Millisecond) // The request is in the socket.
+		drained := m.drain()
+		m.awaitDraining()
+		release()
+		ends, err := c.receive()
+		So(err, ShouldBeNil)
+		So(ends, ShouldBeTrue)
+		So(<-drained, ShouldBeNil)
+	})
+	Convey("A request of which a part was read is answered although idle connections are closed", t, func() {
+		m := newManaged(answer)
+		defer func() { _ = m.server.Close() }()
+		c := m.connect()
+		c.send()
+		_, err := c.receive()
+		So(err, ShouldBeNil)
+		time.Sleep(20 * time.Millisecond) // The connection is idle.
+		_, _ = io.WriteString(c, "GET / HT")
+		time.Sleep(20 * time.Millisecond) // The part was read.
+		m.server.CloseIdle()
+		_, _ = io.WriteString(c, "TP/1.1\r\nHost: h\r\n\r\n")
+		ends, err := c.receive()
+		So(err, ShouldBeNil)
+		So(ends, ShouldBeTrue)
+		So(<-m.drain(), ShouldBeNil)
+	})
 	Convey("An answer that is under way is sent before its connection ends, whether its request began before or after", t, func() {
 		begun, proceed := make(chan struct{}, 2), make(chan struct{})
 		m := newManaged(func(w http.ResponseWriter, r *http.Request) {
@@ -139,7 +179,7 @@
 		before, after := m.connect(), m.connect()
 		before.send()
 		<-begun
-		m.connections.Leave()
+		m.server.Leave()
 		after.send()
 		<-begun
 		drained := m.drain()
@@ -157,9 +197,9 @@
 		defer func() { _ = m.server.Close() }()
 		c := m.connect()
 		for open := 0; open == 0; time.Sleep(time.Millisecond) {
-			m.connections.mu.Lock()
-			open = len(m.connections.open)
-			m.connections.mu.Unlock()
+			m.server.connections.mu.Lock()
+			open = len(m.server.connections.open)
+			m.server.connections.mu.Unlock()
 		}
 		drained := m.drain()
 		m.awaitDraining()
@@ -179,6 +219,6 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 		defer cancel()
-		So(errors.Is(m.connections.Drain(ctx), context.DeadlineExceeded), ShouldBeTrue)
+		So(errors.Is(m.server.Drain(ctx), context.DeadlineExceeded), ShouldBeTrue)
 	})
 }
--- a/server/leave/leavetest/listener.go
+++ b/server/leave/leavetest/listener.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Listener accepts connections on which the server can be kept from seeing what has
@@ -12,8 +13,9 @@
 	net.Listener
 	Arrivals chan struct{} // Gets an element for each read that is held.
 
-	mu   sync.Mutex
-	held chan struct{} // Closed by the release of Hold; nil before Hold.
+	mu         sync.Mutex
+	held       chan struct{} // Closed by the release of Hold; nil before Hold.
+	heldUnread chan struct{} // Closed by the release of HoldUnread; nil before HoldUnread.
 }
 
 // NewListener returns a listener that holds nothing yet.
@@ -30,6 +32,16 @@
 	return func() { close(held) }
 }
 
+// HoldUnread keeps the server from reading further until release is called, so that what
+// arrives stays in the socket.
+func (l *Listener) HoldUnread() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := make(chan struct{})
+	l.heldUnread = held
+	return func() { close(held) }
+}
+
 // Accept accepts a connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
@@ -44,7 +56,18 @@
 	listener *Listener
 }
 
+// SyscallConn gives access to the socket.
+func (c conn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
 func (c conn) Read(buffer []byte) (int, error) {
+	c.listener.mu.Lock()
+	unread := c.listener.heldUnread
+	c.listener.mu.Unlock()
+	if unread != nil {
+		<-unread
+	}
 	n, err := c.Conn.Read(buffer)
 	c.listener.mu.Lock()
 	held := c.listener.held
