leave: the tests wait until a connection counts as idle; one way to peek at a socket

TestConnectionsOfALeavingServer failed once beside other tests. Traced: under load the second request reached the server's background read before the connection counted as idle, so it was rightly answered where the test asks for a closed connection.

--- a/server/leave/connections.go
+++ b/server/leave/connections.go
@@ -7,7 +7,7 @@
 	"sync"
 	"syscall"
 
-	"golang.org/x/sys/unix"
+	"persimmonwind.dev/server/intact"
 )
 
 // connectionTracker ends the kept connections of a server without losing a request that has
@@ -175,16 +175,6 @@
 	if !ok {
 		return false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	// Control, as Read would wait for the server's own read.
-	err = raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		n, _, peekErr := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = peekErr == nil && n > 0
-	})
-	return err == nil && unread
+	received, err := intact.Peek(socket)
+	return err == nil && received > 0
 }
--- a/server/leave/connections_test.go
+++ b/server/leave/connections_test.go
@@ -35,6 +35,18 @@
 	return m
 }
 
+// newBlocking returns a server whose handler reports that it has begun and answers once
+// proceed is closed.
+func newBlocking() (m *managed, begun <-chan struct{}, proceed chan<- struct{}) {
+	began, proceeds := make(chan struct{}, 2), make(chan struct{})
+	m = newManaged(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-proceeds
+		answer(w, r)
+	})
+	return m, began, proceeds
+}
+
 // client is a caller with one connection.
 type client struct {
 	net.Conn
@@ -70,6 +82,17 @@
 	return ended
 }
 
+// awaitIdle waits until the server counts a connection as idle.
+func (m *managed) awaitIdle() {
+	for idle := false; !idle; time.Sleep(time.Millisecond) {
+		m.server.connections.mu.Lock()
+		for _, state := range m.server.connections.open {
+			idle = idle || state.isIdle
+		}
+		m.server.connections.mu.Unlock()
+	}
+}
+
 // awaitDraining waits until Drain has closed the idle connections.
 func (m *managed) awaitDraining() {
 	for {
@@ -96,6 +119,7 @@
 		ends, err := c.receive()
 		So(err, ShouldBeNil)
 		So(ends, ShouldBeFalse)
+		m.awaitIdle()
 
 		Convey("a request that has arrived before the server leaves, and is parsed afterwards, is answered", func() {
 			release := m.Hold()
@@ -127,12 +151,7 @@
 		})
 	})
 	Convey("A request that has arrived and was not read yet is answered although idle connections are closed", t, func() {
-		begun, proceed := make(chan struct{}, 2), make(chan struct{})
-		m := newManaged(func(w http.ResponseWriter, r *http.Request) {
-			begun <- struct{}{}
-			<-proceed
-			answer(w, r)
-		})
+		m, begun, proceed := newBlocking()
 		defer func() { _ = m.server.Close() }()
 		c := m.connect()
 		c.send()
@@ -158,7 +177,7 @@
 		c.send()
 		_, err := c.receive()
 		So(err, ShouldBeNil)
-		time.Sleep(20 * time.Millisecond) // The connection is idle.
+		m.awaitIdle()
 		_, _ = io.WriteString(c, "GET / HT")
 		time.Sleep(20 * time.Millisecond) // The part was read.
 		m.server.CloseIdle()
@@ -169,12 +188,7 @@
 		So(<-m.drain(), ShouldBeNil)
 	})
 	Convey("An answer that is under way is sent before its connection ends, whether its request began before or after", t, func() {
-		begun, proceed := make(chan struct{}, 2), make(chan struct{})
-		m := newManaged(func(w http.ResponseWriter, r *http.Request) {
-			begun <- struct{}{}
-			<-proceed
-			answer(w, r)
-		})
+		m, begun, proceed := newBlocking()
 		defer func() { _ = m.server.Close() }()
 		before, after := m.connect(), m.connect()
 		before.send()
--- a/server/leave/leavetest/listener.go
+++ b/server/leave/leavetest/listener.go
@@ -24,21 +24,18 @@
 }
 
 // Hold keeps the server from seeing what arrives from now on until release is called.
-func (l *Listener) Hold() (release func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	held := make(chan struct{})
-	l.held = held
-	return func() { close(held) }
-}
+func (l *Listener) Hold() (release func()) { return l.hold(&l.held) }
 
 // HoldUnread keeps the server from reading further until release is called, so that what
 // arrives stays in the socket.
-func (l *Listener) HoldUnread() (release func()) {
+func (l *Listener) HoldUnread() (release func()) { return l.hold(&l.heldUnread) }
+
+// hold puts a channel in place that the returned function closes.
+func (l *Listener) hold(place *chan struct{}) (release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	held := make(chan struct{})
-	l.heldUnread = held
+	*place = held
 	return func() { close(held) }
 }
 
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"persimmonwind.dev/server/intact"
 )
 
 const (
@@ -159,22 +161,12 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.Conn.(syscall.Conn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, recvErr := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = errors.Is(recvErr, unix.EAGAIN)
-		return true
-	})
-	return err == nil && reusable
+	_, err := intact.Peek(socket)
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // parseKeepAlive returns the idle limit for the timeout of a Keep-Alive header.
