leave: a body that arrives late makes no connection busy for good; bounds in bytes read

TestWholePathAsSeparateProcesses: the entry did not end, as a connection counted as having bytes of a further request when the body of the one before was read after its handler had begun; such a connection was not closed. Bytes count from the moment it became idle. The new case of TestConnectionsOfALeavingServer failed before (5 s, context deadline).

TestServiceAnswersWithoutEnd: it bounded what the stand-in had sent, of which sockets here buffer up to 32 MB (100,069,709 bytes sent, 83,886,080 allowed).

--- a/server/deployed/broken_answers_test.go
+++ b/server/deployed/broken_answers_test.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,18 +18,6 @@
 	"persimmonwind.dev/server/upstream/upstreamtest"
 )
 
-// countingConn counts the bytes that are read.
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countingConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // platformCall is a call to the store or to an engine.
 type platformCall struct {
 	name   string
@@ -74,16 +60,10 @@
 		return false
 	})
 	defer s.Stop()
-	var count atomic.Int64
+	dial, count := upstreamtest.CountReads(upstream.Dial)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	err = call.call(ctx, s.Address(), func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := upstream.Dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return countingConn{conn, &count}, nil
-	})
+	err = call.call(ctx, s.Address(), dial)
 	return count.Load(), err
 }
 
--- a/server/leave/connections.go
+++ b/server/leave/connections.go
@@ -28,7 +28,7 @@
 // connection is the state of a connection. connectionTracker.mu protects it.
 type connection struct {
 	isIdle   bool // An answer was sent, and no handler of a further request has begun.
-	hasBytes bool // Bytes were read since the last handler began.
+	hasBytes bool // Bytes were read since the connection became idle.
 	closed   bool // The connection was closed while it was idle; no handler may begin.
 }
 
@@ -110,7 +110,7 @@
 	if state == nil || state.closed {
 		return false
 	}
-	state.isIdle, state.hasBytes = false, false
+	state.isIdle = false
 	return true
 }
 
@@ -136,7 +136,7 @@
 		c.open[conn] = &connection{}
 	case http.StateIdle:
 		state := c.open[conn]
-		state.isIdle = true
+		state.isIdle, state.hasBytes = true, false
 		if c.closing {
 			closeIdle(conn, state)
 		}
--- a/server/leave/connections_test.go
+++ b/server/leave/connections_test.go
@@ -170,6 +170,23 @@
 		So(ends, ShouldBeTrue)
 		So(<-drained, ShouldBeNil)
 	})
+	Convey("A connection is idle after a request whose body arrived late, and is closed", t, func() {
+		begun := make(chan struct{}, 1)
+		m := newManaged(func(w http.ResponseWriter, r *http.Request) {
+			begun <- struct{}{}
+			_, _ = io.Copy(io.Discard, r.Body)
+			answer(w, r)
+		})
+		defer func() { _ = m.server.Close() }()
+		c := m.connect()
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+		<-begun
+		_, _ = io.WriteString(c, "dy")
+		_, err := c.receive()
+		So(err, ShouldBeNil)
+		m.awaitIdle()
+		So(<-m.drain(), ShouldBeNil)
+	})
 	Convey("A request of which a part was read is answered although idle connections are closed", t, func() {
 		m := newManaged(answer)
 		defer func() { _ = m.server.Close() }()
--- a/server/ports/httpapi/broken_answers_test.go
+++ b/server/ports/httpapi/broken_answers_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,27 +104,31 @@
 // Guards against handing on the first 64 MB of an answer of a service as the whole, and
 // against reading a head without end into memory.
 func TestServiceAnswersWithoutEnd(t *testing.T) {
-	const allowedInSockets = 16 << 20
+	const headBound, bodyBound = 128 << 10, maxAnswerBytes + 1<<20 // The limits, the chunks' sizes and what a reader buffers.
 	cases := map[string]struct {
 		head, more string
-		allowed    int
+		bound      int64
 	}{
-		"a body":             {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<20), maxAnswerBytes + allowedInSockets},
-		"chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", maxAnswerBytes + allowedInSockets},
-		"a head":             {"HTTP/1.1 200 OK\r\n", "X-Other: a\r\n", allowedInSockets},
-		"a status line":      {"HTTP/1.1 200 O", "OOOO", allowedInSockets},
-		"bytes of no answer": {"", "\x00\x00\x00\x00", allowedInSockets},
+		"a body":             {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<20), bodyBound},
+		"chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", bodyBound},
+		"a head":             {"HTTP/1.1 200 OK\r\n", "X-Other: a\r\n", headBound},
+		"a status line":      {"HTTP/1.1 200 O", "OOOO", headBound},
+		"bytes of no answer": {"", "\x00\x00\x00\x00", headBound},
 	}
 	for name, c := range cases {
 		Convey("A service that sends "+name+" without end gives no answer, after a bounded number of bytes", t, func() {
-			sent := make(chan int, 1)
-			_, err := callServer(nil, nil, func(r upstreamtest.Request) bool {
+			var read *atomic.Int64
+			counted := func(dial upstreamtest.DialFunc) upstreamtest.DialFunc {
+				dial, read = upstreamtest.CountReads(dial)
+				return dial
+			}
+			_, err := callServer(nil, counted, func(r upstreamtest.Request) bool {
 				r.Send("%s", c.head)
-				sent <- r.SendWithoutEnd([]byte(strings.Repeat(c.more, max(1, 4096/len(c.more)))), 4*maxAnswerBytes)
+				r.SendWithoutEnd([]byte(strings.Repeat(c.more, max(1, 4096/len(c.more)))), 4*maxAnswerBytes)
 				return false
 			})
 			So(errors.Is(err, ports.ErrUnknownOutcome), ShouldBeTrue)
-			So(<-sent, ShouldBeLessThan, c.allowed)
+			So(read.Load(), ShouldBeLessThan, c.bound)
 		})
 	}
 	Convey("An answer that is as long as allowed is handed on", t, func() {
--- a/server/rpc/bound_test.go
+++ b/server/rpc/bound_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -17,6 +16,8 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"persimmonwind.dev/server/upstream/upstreamtest"
 )
 
 // readerConn is a connection from which the bytes of a reader are read.
@@ -29,18 +30,6 @@
 func (c readerConn) SetReadDeadline(time.Time) error { return nil }
 func (c readerConn) Close() error                    { return nil }
 
-// countedConn counts the bytes that are read.
-type countedConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countedConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // endlessMessage announces a message of 2 GB.
 const endlessMessage = "\xfc\x80\x00\x00\x00"
 
@@ -73,11 +62,8 @@
 				ended <- sendWithoutEnd(conn, limit)
 			}
 		}()
-		var read atomic.Int64
-		pool := NewPoolWithDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-			return countedConn{conn, &read}, err
-		})
+		dial, read := upstreamtest.CountReads((&net.Dialer{}).DialContext)
+		pool := NewPoolWithDialer(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) })
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		var reply string
--- a/server/upstream/upstream_test.go
+++ b/server/upstream/upstream_test.go
@@ -345,7 +345,10 @@
 
 // Guards against chunks and trailers without end.
 func TestChunksWithoutEnd(t *testing.T) {
-	const allowed = 16 << 20 // Includes the bytes in socket buffers.
+	const (
+		sent    = 64 << 20
+		allowed = 128 << 10 // The size of a line or of the trailers, and what readers buffer.
+	)
 	cases := map[string]struct{ head, more string }{
 		"a chunk's size":             {"\r\n", "0"},
 		"a chunk's extension":        {"\r\n2;x=", "y"},
@@ -356,16 +359,16 @@
 	for _, id := range []string{"1", "other"} {
 		for name, c := range cases {
 			Convey("An answer to request "+id+" with "+name+" without end is given up after a bounded number of bytes", t, func() {
-				sent := make(chan int, 1)
 				s := upstreamtest.NewRawServer(func(r upstreamtest.Request) bool {
 					r.Send("HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n%s", id, c.head)
-					sent <- r.SendWithoutEnd([]byte(strings.Repeat(c.more, max(1, 4096/len(c.more)))), 4*allowed)
+					r.SendWithoutEnd([]byte(strings.Repeat(c.more, max(1, 4096/len(c.more)))), sent)
 					return false
 				})
 				defer s.Stop()
-				_, err := roundTrip(NewPool(Dial), s.Address(), "1")
+				dial, read := upstreamtest.CountReads(Dial)
+				_, err := roundTrip(NewPool(dial), s.Address(), "1")
 				So(err, ShouldNotBeNil)
-				So(<-sent, ShouldBeLessThan, allowed)
+				So(read.Load(), ShouldBeLessThan, allowed)
 			})
 		}
 	}
--- a/server/upstream/upstreamtest/raw.go
+++ b/server/upstream/upstreamtest/raw.go
@@ -177,3 +177,27 @@
 	case <-time.After(orderTimeout):
 	}
 }
+
+// CountReads returns dial with a count of the bytes that are read from its connections. What
+// a server has sent does not tell that: sockets buffer many megabytes.
+func CountReads(dial DialFunc) (DialFunc, *atomic.Int64) {
+	count := &atomic.Int64{}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: conn, count: count}, nil
+	}, count
+}
+
+type countedConn struct {
+	net.Conn
+	count *atomic.Int64
+}
+
+func (c countedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.count.Add(int64(n))
+	return n, err
+}
