--- a/server/deployed/broken_answers_test.go
+++ b/server/deployed/broken_answers_test.go
@@ -91,6 +91,19 @@
 				So(errors.Is(err, platform.ErrOrderRejected), ShouldBeFalse)
 			})
 		}
+		Convey("After "+call.name+", a redirect is an error, and not followed", t, func() {
+			followed := false
+			_, err := answerWith(call, func(r upstreamtest.Request) {
+				if r.URL.Path == "/elsewhere" {
+					followed = true
+					r.Send("HTTP/1.1 200 OK\r\n%s\r\n%s", length, call.answer)
+					return
+				}
+				r.Send("HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n")
+			})
+			So(err, ShouldNotBeNil)
+			So(followed, ShouldBeFalse)
+		})
 		for name, answer := range map[string]string{
 			"a length": "HTTP/1.1 200 OK\r\n" + length + "\r\n" + call.answer,
 			"chunks":   fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(call.answer), call.answer),
