gateway: a line that fills the reader's buffer is not followed by a blank one

Cause: readEvent reads a line in parts of 4,096 bytes. After a line that ends with a part, the part with its line feed alone was taken for the blank line that ends an event: the half event was relayed and the stream was resumed behind it.

An event now ends with a line that is blank as a whole.

--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -125,13 +125,14 @@
 // readEvent reads the next event into the buffer, including the blank line that ends it,
 // and returns its id. It returns io.EOF only if the stream ends between two events.
 func readEvent(reader *bufio.Reader, event *buffer) (id string, err error) {
+	lineStart := 0 // Where the current line begins in the event.
 	for {
-		line, err := reader.ReadSlice('\n')
-		if appendErr := event.append(line); appendErr != nil {
+		part, err := reader.ReadSlice('\n')
+		if appendErr := event.append(part); appendErr != nil {
 			return "", fmt.Errorf("buffer event: %w", appendErr)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
+			continue // The line goes on in the next part.
 		}
 		if errors.Is(err, io.EOF) && len(event.data) > 0 {
 			return "", errTruncatedEvent
@@ -139,9 +140,10 @@
 		if err != nil {
 			return "", err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if len(bytes.TrimRight(event.data[lineStart:], "\r\n")) == 0 {
 			return eventID(event.data), nil
 		}
+		lineStart = len(event.data)
 	}
 }
 
--- a/server/gateway/unframed_test.go
+++ b/server/gateway/unframed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -75,3 +76,33 @@
 		So(err, ShouldNotEqual, io.EOF)
 	})
 }
+
+// Guards against taking a line that fills the reader's buffer for a line and a blank one: the
+// event counted as complete in its middle, and what another server went on with was joined
+// to it.
+func TestEventsWithLongLines(t *testing.T) {
+	for _, length := range []int{4090, 4095, 4096, 4097, 8191, 8192, 8193, 12288, 100_000} {
+		for _, end := range []string{"\n", "\r\n"} {
+			Convey(fmt.Sprintf("A line of %d bytes that ends with %q is relayed as a part of its event", length, end), t, func() {
+				long := "data: " + strings.Repeat("x", length-len("data: ")) + end
+				first, second := "id: 1"+end+"data: a"+end+end, "id: 2"+end+long+"data: b"+end+end
+				cut := "id: 2" + end + long
+				script := firstThenRest(
+					func(w http.ResponseWriter, r *http.Request) {
+						writeUnframed(w, r, "text/event-stream", first+cut, false)
+					},
+					func(w http.ResponseWriter, r *http.Request) {
+						writeUnframed(w, r, "text/event-stream", second, true)
+					},
+				)
+				b1, b2 := newBackend("b1", script), newBackend("b2", script)
+				s := newSystem(b1, b2)
+				defer s.close(b1, b2)
+				response, body, err := s.send("POST", "/stream/x", "", nil)
+				So(err, ShouldBeNil)
+				So(response.StatusCode, ShouldEqual, 200)
+				So(body == first+second, ShouldBeTrue)
+			})
+		}
+	}
+}
