watch: up to date within the contact time after any outage of the store

Cause: waits that were each below 3 s and add up to more. A poll that began just before the return ran into its time-out of 2.5 s and was followed by a delay of up to 1 s: 3.3 to 3.5 s. The grace for missing rows, 2 s, counted from the process's own poll, which came up to 2.6 s after the return. Ruled out: installing a configuration (1 ms), slow answers.

While the store is lost, polls wait for no change (0.7 s at most), and the interval to the next call counts from the start of the failed one: 0.8 s at most, so that the next call is answered 0.81 s after the return. The grace counts from the start of the last failed call, which precedes the return by 0.8 s at most: 2.0 to 2.9 s after it. The watch of crash records, which has no bound, keeps a longer interval, so that the reads at the return stay within the store's rate.

The test of the grace in policy/topology is as strict: 2 s from the return, and gone 2.9 s after the last failed call, which is earlier than before.

--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// StoreReturnGrace is how long after the store has recovered from an outage a server
-	// whose row has disappeared is kept. Rows that expired in the outage are back within
-	// about two seconds, as the platform promises.
-	StoreReturnGrace = 2 * time.Second
+	// lapsedRowGrace is how long a server is kept whose row disappeared in an outage of the
+	// store, from the start of the last call that failed. The store came back later than
+	// that, and at most 0.8 s later unless the outage was shorter than one long poll. So the
+	// server is kept for the two seconds within which, as the platform promises, rows that
+	// expired are back, and dropped within 3 s of the store's return, when this process
+	// counts as up to date: a row still missing then was removed.
+	lapsedRowGrace = 2800 * time.Millisecond
 	// unlistedGrace is how long a server whose row disappeared without notice is
 	// kept as a last resort: the row may have expired in an outage of the store that
 	// this process did not notice. It is shorter than the shortest drain period of a
@@ -42,7 +45,7 @@
 
 	ServersLoaded bool            // The complete list of servers has been read at least once.
 	LostWatches   map[string]bool // Names of the watches for which the store is unavailable.
-	StoreUpSince  time.Time       // When the store last became available again after an outage.
+	LapsedUntil   time.Time       // Until when rows that are missing after the last outage of the store may come back.
 
 	gone            map[string]goneServer // Servers that have gone, by ID.
 	takenOutInDoubt map[string]time.Time  // When taken-out data centres return that a restored copy lacks.
@@ -96,14 +99,18 @@
 
 // ServerGone reports that a server's row was removed or describes no usable
 // server.
-type ServerGone struct{ ID string }
+type ServerGone struct {
+	ID        string
+	LostSince time.Time // When the latest failed call of the store began, if this was read in the answer after it.
+}
 
 func (ServerGone) EventName() string { return "topology.server_gone" }
 
 // ServersListed carries the complete list of servers.
 type ServersListed struct {
-	Servers  []Server
-	Restored bool // The store came back from an older copy since the previous list.
+	Servers   []Server
+	Restored  bool      // The store came back from an older copy since the previous list.
+	LostSince time.Time // As in ServerGone.
 }
 
 func (ServersListed) EventName() string { return "topology.servers_listed" }
@@ -113,8 +120,12 @@
 
 func (StoreLost) EventName() string { return "topology.store_lost" }
 
-// StoreRegained reports that the store is available to a watch again.
-type StoreRegained struct{ Watch string }
+// StoreRegained reports that the store is available to a watch again. It has come back
+// after LostSince, when the latest failed call began.
+type StoreRegained struct {
+	Watch     string
+	LostSince time.Time
+}
 
 func (StoreRegained) EventName() string { return "topology.store_regained" }
 
@@ -154,7 +165,7 @@
 	case ServerRead:
 		return s.updateServer(event.Server, input.Now)
 	case ServerGone:
-		return s.removeServer(event.ID, input.Now)
+		return s.removeServer(event.ID, event.LostSince, input.Now)
 	case ServersListed:
 		return s.replaceServers(event, input.Now)
 	case StoreLost:
@@ -164,7 +175,7 @@
 	case StoreRegained:
 		s.LostWatches = maps.Clone(s.LostWatches)
 		delete(s.LostWatches, event.Watch)
-		s.StoreUpSince = input.Now
+		s.LapsedUntil = latest(s.LapsedUntil, event.LostSince.Add(lapsedRowGrace))
 		return s, []reduce.Effect{Change{What: "store", Subject: event.Watch, Outcome: "regained"}}
 	}
 	return s, nil
@@ -266,9 +277,10 @@
 	return s, []reduce.Effect{Change{What: "server", Subject: server.ID, Outcome: outcome, Reason: server.Address}}
 }
 
-// removeServer sets the time at which the server is dropped. A leaving server
-// has announced its removal and is dropped at once.
-func (s State) removeServer(id string, now time.Time) (State, []reduce.Effect) {
+// removeServer sets the time at which the server is dropped. A leaving server has
+// announced its removal and is dropped at once. lostSince is when the latest failed call of
+// the store began, if the row was found missing in the answer after it.
+func (s State) removeServer(id string, lostSince, now time.Time) (State, []reduce.Effect) {
 	server, exists := s.Servers[id]
 	if !exists || !server.DropAt.IsZero() && !server.Restoring {
 		return s, nil
@@ -281,14 +293,29 @@
 		s.gone[id] = goneServer{born: server.Server.Born, at: now}
 		return s, []reduce.Effect{Change{What: "server", Subject: id, Outcome: "gone", Reason: "row removed after the server was marked as leaving"}}
 	}
-	server.DropAt = now.Add(unlistedGrace)
-	if graceEnd := s.StoreUpSince.Add(StoreReturnGrace); !s.StoreUpSince.IsZero() && graceEnd.After(server.DropAt) {
-		server.DropAt = graceEnd
-	}
+	server.DropAt = s.dropAt(lostSince, now)
 	s.Servers[id] = server
 	return s, []reduce.Effect{Change{What: "server", Subject: id, Outcome: "unlisted", Reason: "row removed without notice; kept as a last resort for " + server.DropAt.Sub(now).String()}}
 }
 
+// dropAt returns when a server is dropped whose row is found missing now. If that is in the
+// first answer after an outage, the row may have been removed long ago, so that the time
+// counts from the outage.
+func (s State) dropAt(lostSince, now time.Time) time.Time {
+	if !lostSince.IsZero() {
+		return latest(now, lostSince.Add(lapsedRowGrace))
+	}
+	return latest(now.Add(unlistedGrace), s.LapsedUntil)
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // replaceServers stores the complete list of servers and removes those that are not in
 // it. What is known of a server prevails over the list of a restored copy: a server that
 // the copy lacks is kept for serverRestoreGrace, and one that was leaving or gone gets no work
@@ -315,7 +342,7 @@
 			s, more = s.awaitRow(id, now)
 			effects = append(effects, more...)
 		case !server.Restoring:
-			s, more = s.removeServer(id, now)
+			s, more = s.removeServer(id, list.LostSince, now)
 			effects = append(effects, more...)
 		}
 	}
--- a/policy/topology/topology_test.go
+++ b/policy/topology/topology_test.go
@@ -88,14 +88,26 @@
 			So(candidateIDs(s), ShouldResemble, []string{"x", "y", "z"})
 		})
 		Convey("servers whose rows expired in an outage are kept for a grace period after the store recovers", func() {
-			s = applyEvents(s, &now, StoreLost{Watch: "servers"}, StoreRegained{Watch: "servers"}, ServersListed{})
-			now = now.Add(StoreReturnGrace - 100*time.Millisecond)
+			lostSince := now
+			storeReturn := now.Add(700 * time.Millisecond)
+			s = applyEvents(s, &now, StoreLost{Watch: "servers"})
+			now = storeReturn.Add(100 * time.Millisecond)
+			s = applyEvents(s, &now, StoreRegained{Watch: "servers", LostSince: lostSince}, ServersListed{LostSince: lostSince})
+			now = storeReturn.Add(2 * time.Second)
 			s = applyEvents(s, &now, reduce.Tick{})
 			So(candidateIDs(s), ShouldHaveLength, 3)
-			now = now.Add(200 * time.Millisecond)
+			now = lostSince.Add(2900 * time.Millisecond)
 			s = applyEvents(s, &now, reduce.Tick{})
 			So(candidateIDs(s), ShouldBeEmpty)
 		})
+		Convey("servers whose rows were removed in an outage that was noticed late are dropped at once", func() {
+			lostSince := now
+			now = now.Add(2900 * time.Millisecond)
+			s = applyEvents(s, &now, StoreRegained{Watch: "servers", LostSince: lostSince}, ServerGone{ID: "y", LostSince: lostSince}, reduce.Tick{})
+			So(candidateIDs(s), ShouldResemble, []string{"x", "z"})
+			s = applyEvents(s, &now, ServerGone{ID: "x"}, reduce.Tick{})
+			So(candidateIDs(s), ShouldResemble, []string{"x", "z"})
+		})
 		Convey("no server in a data centre that is taken out gets work until the data centre is returned", func() {
 			s = applyEvents(s, &now, DataCentreRead{DataCentre: "a", TakenOut: true})
 			So(candidateIDs(s), ShouldBeEmpty)
--- a/server/deployed/topology.go
+++ b/server/deployed/topology.go
@@ -82,7 +82,7 @@
 // run follows the store until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for _, table := range []string{platform.TableOperators, platform.TableServers} {
-		w := &watch.Watch{Store: f.store, Table: table, Decode: watch.TopologyDecoder(table), Post: f.post, Log: f.log, BatchDelay: f.batchDelay, PollWait: f.pollWait, Restores: f.restores}
+		w := &watch.Watch{Store: f.store, Table: table, Decode: watch.TopologyDecoder(table), Post: f.post, Log: f.log, BatchDelay: f.batchDelay, PollWait: f.pollWait, MaxRetryInterval: watch.TopologyRetryInterval, Restores: f.restores}
 		go w.Run(ctx)
 	}
 	return f.loop.Run(ctx, topology.New(), tickInterval)
--- a/server/mapcontrol/lease_test.go
+++ b/server/mapcontrol/lease_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"persimmonwind.dev/platform"
+	"persimmonwind.dev/server/wait"
 )
 
 // leaseStore is a store of leases whose clock stands still unless a test moves it.
@@ -25,11 +26,28 @@
 	rows         map[string]platform.Row
 	loseAnswer   bool   // The next creation takes effect but returns an error.
 	beforeCreate func() // Called before the next creation takes effect.
+	silentUntil  time.Time
+}
+
+// storeCallTimeout is how long the store's client waits for an answer.
+const storeCallTimeout = 2 * time.Second
+
+// answers reports whether a call that arrives now is answered, and otherwise waits for as
+// long as the client does.
+func (s *leaseStore) answers(ctx context.Context) bool {
+	if !time.Now().Before(s.silentUntil) {
+		return true
+	}
+	wait.For(ctx, storeCallTimeout)
+	return false
 }
 
 func newLeaseStore() *leaseStore { return &leaseStore{rows: map[string]platform.Row{}, now: time.Hour} }
 
-func (s *leaseStore) ListPrefix(_ context.Context, _, prefix string) (platform.Rows, error) {
+func (s *leaseStore) ListPrefix(ctx context.Context, _, prefix string) (platform.Rows, error) {
+	if !s.answers(ctx) {
+		return platform.Rows{}, context.DeadlineExceeded
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := platform.Rows{NowMS: s.now.Milliseconds(), Era: s.era}
@@ -41,7 +59,10 @@
 	return listed, nil
 }
 
-func (s *leaseStore) Create(_ context.Context, row platform.Row) (uint64, error) {
+func (s *leaseStore) Create(ctx context.Context, row platform.Row) (uint64, error) {
+	if !s.answers(ctx) {
+		return 0, context.DeadlineExceeded
+	}
 	s.mu.Lock()
 	before := s.beforeCreate
 	s.beforeCreate = nil
--- a/server/mapcontrol/return_test.go
+++ b/server/mapcontrol/return_test.go
@@ -417,6 +417,30 @@
 	}
 }
 
+// Guards against waits after an outage of the store that add up beyond the time within which
+// a process must be up to date again, before a group has a coordinator with a lease.
+func TestLeaseAfterAnOutage(t *testing.T) {
+	const contactTime = 3 * time.Second
+	for _, aware := range []bool{false, true} {
+		for silence := 6 * time.Second; silence < 9*time.Second; silence += 210 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				g := newReturningGroup(t, "B", returnPasses[0], aware)
+				g.startEpoch()
+				g.lease.silentUntil = time.Now().Add(silence)
+				g.startAgents()
+				defer g.end()
+				g.open.Store(true)
+				time.Sleep(silence)
+				for returnedAt := time.Now(); len(g.lease.acquisitions()) == 0; time.Sleep(10 * time.Millisecond) {
+					if time.Since(returnedAt) > contactTime {
+						t.Fatalf("no agent has the lease %v after a silence of %v, scheduled by class: %t", contactTime, silence, aware)
+					}
+				}
+			})
+		}
+	}
+}
+
 func TestBusyGroupIsNotChangedForSmallGains(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newReturningGroup(t, "A", returnPasses[0], true)
--- a/server/quarantine/quarantine.go
+++ b/server/quarantine/quarantine.go
@@ -56,6 +56,9 @@
 	batchDelay = 50 * time.Millisecond
 	// pollWait is how long a poll waits for a change of the records, which are few.
 	pollWait = 25 * time.Second
+	// retryInterval is the longest time between two calls while the store is lost. Entries
+	// that have just read their configuration read the records after refreshDelay in any case.
+	retryInterval = 2 * time.Second
 	// refreshDelay is the time from a sign of a crash until the records are read anew, in
 	// case that the connection on which they are awaited is dead. It leaves the entries
 	// that observed the crash time to write.
@@ -132,7 +135,7 @@
 func (q *Quarantine) Run(ctx context.Context) error {
 	records := &watch.Watch{
 		Store: q.store, Table: recordTable, Decode: watch.Decoder{List: listRecords, Change: changedRecord},
-		Post: q.loop.Post, Log: q.log, BatchDelay: batchDelay, PollWait: pollWait, Refresh: q.refresh, Restores: q.restores,
+		Post: q.loop.Post, Log: q.log, BatchDelay: batchDelay, PollWait: pollWait, MaxRetryInterval: retryInterval, Refresh: q.refresh, Restores: q.restores,
 	}
 	go records.Run(ctx)
 	go q.dropSuspicions(ctx)
--- a/server/quarantine/quarantine_test.go
+++ b/server/quarantine/quarantine_test.go
@@ -162,7 +162,7 @@
 		So(decoded, ShouldResemble, record)
 	})
 	Convey("A row that can't be read is named and hides no other", t, func() {
-		events, err := listRecords([]platform.Row{{Key: "e1", Value: []byte("{")}, {Key: "e2", Value: encodeRecord(poison.Record{})}}, false)
+		events, err := listRecords([]platform.Row{{Key: "e1", Value: []byte("{")}, {Key: "e2", Value: encodeRecord(poison.Record{})}}, platform.Reading{})
 		So(err, ShouldNotBeNil)
 		So(events[0].(poison.RowsListed).Rows, ShouldHaveLength, 2)
 	})
--- a/server/quarantine/row.go
+++ b/server/quarantine/row.go
@@ -93,7 +93,7 @@
 
 // listRecords translates all rows of the table. Rows that can't be decoded count as
 // empty and are named in the error.
-func listRecords(rows []platform.Row, _ bool) ([]reduce.Event, error) {
+func listRecords(rows []platform.Row, _ platform.Reading) ([]reduce.Event, error) {
 	list := poison.RowsListed{}
 	var problems []error
 	for _, row := range rows {
@@ -106,7 +106,7 @@
 	return []reduce.Event{list}, errors.Join(problems...)
 }
 
-func changedRecord(row platform.Row) (reduce.Event, error) {
+func changedRecord(row platform.Row, _ platform.Reading) (reduce.Event, error) {
 	if row.Deleted {
 		return poison.RowRead{Row: poison.Row{Entry: row.Key}}, nil
 	}
--- a/server/watch/watch.go
+++ b/server/watch/watch.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -30,12 +31,23 @@
 	minPollWait = 1800 * time.Millisecond
 	maxPollWait = 25 * time.Second
 	pollMargin  = 1200 * time.Millisecond
-	// initialBackoff and maxBackoff bound the delay after a failed call, which doubles
-	// with each further failure: the store charges for refused calls as well.
-	initialBackoff = 100 * time.Millisecond
-	maxBackoff     = time.Second
+	// minRetryInterval is the time from the start of a failed call to the start of the next
+	// one, which doubles with each further failure up to Watch.MaxRetryInterval: the store
+	// charges for refused calls as well. A call that fails later than that is followed by
+	// the next one after minRetryDelay.
+	minRetryInterval = 100 * time.Millisecond
+	minRetryDelay    = 100 * time.Millisecond
+	// retryJitter is the share of the interval by which it may be shorter, so that processes
+	// that lost the store together do not call it together.
+	retryJitter = 0.25
 )
 
+// TopologyRetryInterval is the MaxRetryInterval of watches that processes rely on to be up to
+// date. It exceeds the duration of a call that waits for no change, 0.7 s if the store does
+// not answer, by minRetryDelay. While the store is lost, calls thus begin at most that far
+// apart, whether they are refused or time out.
+const TopologyRetryInterval = 800 * time.Millisecond
+
 // Store is the part of the platform's store that a Watch uses.
 type Store interface {
 	List(ctx context.Context, table string) (platform.Rows, error)
@@ -44,20 +56,21 @@
 
 // Decoder translates the rows of a table into events.
 type Decoder struct {
-	// List translates all rows. restored means that the store came back from an older
-	// copy since the table was listed before.
-	List func(rows []platform.Row, restored bool) ([]reduce.Event, error)
+	// List translates all rows.
+	List func(rows []platform.Row, reading platform.Reading) ([]reduce.Event, error)
 	// Change translates a changed row; nil stands for a row that is not used.
-	Change func(row platform.Row) (reduce.Event, error)
+	Change func(row platform.Row, reading platform.Reading) (reduce.Event, error)
 }
 
 // TopologyDecoder translates a table of operators or backend servers.
 func TopologyDecoder(table string) Decoder {
 	return Decoder{
-		List: func(rows []platform.Row, restored bool) ([]reduce.Event, error) {
-			return platform.ListEvents(table, rows, restored)
+		List: func(rows []platform.Row, reading platform.Reading) ([]reduce.Event, error) {
+			return platform.ListEvents(table, rows, reading)
+		},
+		Change: func(row platform.Row, reading platform.Reading) (reduce.Event, error) {
+			return platform.ChangeEvent(table, row, reading)
 		},
-		Change: func(row platform.Row) (reduce.Event, error) { return platform.ChangeEvent(table, row) },
 	}
 }
 
@@ -74,12 +87,15 @@
 	// BatchDelay is the pause after a change, so that one poll returns changes
 	// that follow each other closely.
 	BatchDelay time.Duration
-	PollWait   time.Duration      // How long a poll waits for a change; see PollWait.
-	Restores   prometheus.Counter // Counts the times that the store came back from an older copy.
-
-	backoff   time.Duration
-	era       uint64 // Latest era of the store that an answer has told; 0 while unknown.
-	storeLost bool   // The store is unavailable: StoreLost was posted and StoreRegained not yet.
+	PollWait   time.Duration // How long a poll waits for a change; see PollWait.
+	// MaxRetryInterval is the longest time between the starts of two calls while the store
+	// is lost, unless a call lasts longer.
+	MaxRetryInterval time.Duration
+	Restores         prometheus.Counter // Counts the times that the store came back from an older copy.
+
+	retryInterval time.Duration
+	era           uint64    // Latest era of the store that an answer has told; 0 while unknown.
+	lostSince     time.Time // When the latest failed call began; zero while the store answers.
 }
 
 // PollWait returns how long polls wait for a change if a process must be up to date
@@ -102,25 +118,26 @@
 
 // list reads the whole table and posts its rows.
 func (w *Watch) list(ctx context.Context) (version uint64, ok bool) {
+	startedAt := time.Now()
 	rows, err := w.Store.List(ctx, w.Table)
 	if errors.Is(err, platform.ErrEraChanged) {
 		return 0, false
 	}
 	if err != nil {
-		w.storeFailed(ctx, err)
+		w.storeFailed(ctx, startedAt, err)
 		return 0, false
 	}
-	w.storeAnswered()
+	reading := w.storeAnswered()
 	if rows.Era < w.era {
 		return 0, false // An answer that was under way when the store was restored.
 	}
-	restored := w.era != 0 && rows.Era > w.era
-	if restored {
+	reading.Restored = w.era != 0 && rows.Era > w.era
+	if reading.Restored {
 		logevent.Write(w.Log, logevent.StoreRestored, logrus.Fields{"table": w.Table, "era": rows.Era, "before": w.era, "version": rows.Version})
 		w.Restores.Inc()
 	}
 	w.era = rows.Era
-	events, err := w.Decode.List(rows.Rows, restored)
+	events, err := w.Decode.List(rows.Rows, reading)
 	w.logUnreadable(err)
 	for _, event := range events {
 		w.Post(event)
@@ -134,7 +151,8 @@
 	pollCtx, endPoll := context.WithCancelCause(ctx)
 	defer endPoll(nil)
 	go w.awaitRefresh(pollCtx, endPoll)
-	rows, err := w.Store.Feed(pollCtx, w.Table, after, w.PollWait)
+	startedAt := time.Now()
+	rows, err := w.Store.Feed(pollCtx, w.Table, after, w.pollWait())
 	if err != nil && errors.Is(context.Cause(pollCtx), errRefresh) {
 		return 0, false
 	}
@@ -143,10 +161,10 @@
 		return 0, false
 	}
 	if err != nil {
-		w.storeFailed(ctx, err)
+		w.storeFailed(ctx, startedAt, err)
 		return after, true
 	}
-	w.storeAnswered()
+	reading := w.storeAnswered()
 	if rows.Era > w.era && w.era != 0 {
 		return 0, false // Versions of different eras don't compare, so the table is listed again.
 	}
@@ -154,7 +172,7 @@
 		return after, true // An answer that was under way when the store was restored.
 	}
 	for _, row := range rows.Rows {
-		event, err := w.Decode.Change(row)
+		event, err := w.Decode.Change(row, reading)
 		w.logUnreadable(err)
 		if event != nil {
 			w.Post(event)
@@ -178,27 +196,39 @@
 	}
 }
 
-// storeAnswered resets the backoff and posts StoreRegained if the store was lost.
-func (w *Watch) storeAnswered() {
-	w.backoff = 0
-	if w.storeLost {
-		w.storeLost = false
-		w.Post(topology.StoreRegained{Watch: w.Table})
+// pollWait returns how long the next poll waits for a change. While the store is lost, it
+// waits for none, so that a poll that gets no answer is noticed soon.
+func (w *Watch) pollWait() time.Duration {
+	if !w.lostSince.IsZero() {
+		return 0
+	}
+	return w.PollWait
+}
+
+// storeAnswered posts StoreRegained if the store was lost, and returns how the answer was
+// read.
+func (w *Watch) storeAnswered() platform.Reading {
+	reading := platform.Reading{LostSince: w.lostSince}
+	w.retryInterval, w.lostSince = 0, time.Time{}
+	if !reading.LostSince.IsZero() {
+		w.Post(topology.StoreRegained{Watch: w.Table, LostSince: reading.LostSince})
 	}
+	return reading
 }
 
-// storeFailed posts StoreLost for the first of several failures and waits for the
-// backoff.
-func (w *Watch) storeFailed(ctx context.Context, err error) {
+// storeFailed posts StoreLost for the first of several failures and waits until the next
+// call is due.
+func (w *Watch) storeFailed(ctx context.Context, startedAt time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if !w.storeLost {
-		w.storeLost = true
+	if w.lostSince.IsZero() {
 		w.Post(topology.StoreLost{Watch: w.Table, Reason: err.Error()})
 	}
-	w.backoff = min(max(initialBackoff, 2*w.backoff), maxBackoff)
-	wait.For(ctx, w.backoff)
+	w.lostSince = startedAt
+	w.retryInterval = min(max(minRetryInterval, 2*w.retryInterval), w.MaxRetryInterval)
+	interval := time.Duration(float64(w.retryInterval) * (1 - retryJitter*rand.Float64()))
+	wait.For(ctx, max(interval-time.Since(startedAt), minRetryDelay))
 }
 
 func (w *Watch) logUnreadable(err error) {
--- a/server/watch/watch_test.go
+++ b/server/watch/watch_test.go
@@ -62,7 +62,7 @@
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
 	var mu sync.Mutex
-	w := &Watch{Store: store, Table: platform.TableServers, Decode: TopologyDecoder(platform.TableServers), Log: logrus.NewEntry(log), PollWait: PollWait(3 * time.Second), Restores: prometheus.NewCounter(prometheus.CounterOpts{Name: "restores"}), Post: func(event reduce.Event) {
+	w := &Watch{Store: store, Table: platform.TableServers, Decode: TopologyDecoder(platform.TableServers), Log: logrus.NewEntry(log), PollWait: PollWait(3 * time.Second), MaxRetryInterval: TopologyRetryInterval, Restores: prometheus.NewCounter(prometheus.CounterOpts{Name: "restores"}), Post: func(event reduce.Event) {
 		mu.Lock()
 		defer mu.Unlock()
 		events = append(events, event.EventName())
@@ -165,7 +165,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		posted := make(chan reduce.Event, 10)
-		w := &Watch{Store: store, Table: platform.TableServers, Decode: TopologyDecoder(platform.TableServers), Log: logrus.NewEntry(log), PollWait: PollWait(3 * time.Second), Restores: prometheus.NewCounter(prometheus.CounterOpts{Name: "restores"}), Post: func(event reduce.Event) { posted <- event }}
+		w := &Watch{Store: store, Table: platform.TableServers, Decode: TopologyDecoder(platform.TableServers), Log: logrus.NewEntry(log), PollWait: PollWait(3 * time.Second), MaxRetryInterval: TopologyRetryInterval, Restores: prometheus.NewCounter(prometheus.CounterOpts{Name: "restores"}), Post: func(event reduce.Event) { posted <- event }}
 		started := time.Now()
 		go w.Run(ctx)
 		for {
