platform: a call after an unanswered one does not wait on another dead connection

Cause: net/http keeps idle connections when a call times out, and another call's connection may have died with it; each costs a time-out.

After a call that got no answer in time, the store's client closes its idle connections, so that the next call opens one.

--- a/server/intact/response.go
+++ b/server/intact/response.go
@@ -76,6 +76,13 @@
 	limits *Limits // nil for none.
 }
 
+// CloseIdleConnections closes the idle connections of the next transport.
+func (t transport) CloseIdleConnections() {
+	if next, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		next.CloseIdleConnections()
+	}
+}
+
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.next.RoundTrip(request)
 	if err != nil {
