platform: an empty list of organisations admits nobody

Cause: whether callers need keys was asked of the length of the list, and decoding made an empty list and a missing one the same.

An empty key, which admitted callers without any, and keys of an organisation without a name are nobody's.

--- a/policy/topology/configuration.go
+++ b/policy/topology/configuration.go
@@ -20,7 +20,10 @@
 	Routes        []Route
 	Services      map[string]Service
 	Organisations []Organisation
-	Limits        Limits
+	// AnonymousCallers means that the configuration has no list of organisations, so that
+	// callers need no keys. With an empty list nobody has a key.
+	AnonymousCallers bool
+	Limits           Limits
 }
 
 // Route maps requests to the backend servers of its target services.
@@ -94,7 +97,8 @@
 	return time.Duration(e.ExpertMB * bitsPerByte / e.LinkMbps * float64(time.Second))
 }
 
-// Organisation is an organisation that sends requests, with its API keys.
+// Organisation is an organisation that sends requests, with its API keys. An empty key
+// authenticates nobody, and no key authenticates an organisation without a name.
 type Organisation struct {
 	Name        string
 	Keys        []string
--- a/policy/topology/snapshot.go
+++ b/policy/topology/snapshot.go
@@ -96,7 +96,9 @@
 	for i := range s.Config.Organisations {
 		organisation := &s.Config.Organisations[i]
 		for _, key := range organisation.Keys {
-			s.organisationsByKey[key] = organisation
+			if key != "" && organisation.Name != "" {
+				s.organisationsByKey[key] = organisation
+			}
 		}
 	}
 }
@@ -119,9 +121,8 @@
 	return nil
 }
 
-// HasOrganisations reports whether organisations are configured, so that callers
-// need keys.
-func (s *Snapshot) HasOrganisations() bool { return len(s.Config.Organisations) > 0 }
+// RequiresKeys reports whether callers of routes that are not public need keys.
+func (s *Snapshot) RequiresKeys() bool { return !s.Config.AnonymousCallers }
 
 // Organisation returns the organisation that the key belongs to, or nil.
 func (s *Snapshot) Organisation(key string) *Organisation { return s.organisationsByKey[key] }
--- a/policy/topology/topology_test.go
+++ b/policy/topology/topology_test.go
@@ -164,3 +164,44 @@
 		So(route.PickService(0.999999), ShouldEqual, "y")
 	})
 }
+
+// Guards against opening routes to everybody, or to callers without a key, as something of
+// the organisations is empty.
+func TestKeys(t *testing.T) {
+	now := start
+	install := func(s State, config Configuration) (State, *Snapshot) {
+		s = applyEvents(s, &now, ServersListed{}, ConfigurationRead{Config: &config})
+		return s, s.Snapshot(nil)
+	}
+	organisation := func(name string, keys ...string) Organisation { return Organisation{Name: name, Keys: keys} }
+	Convey("Callers need keys unless organisations are not configured at all", t, func() {
+		for _, organisations := range [][]Organisation{nil, {}, {organisation("a")}, {organisation("a", "k")}} {
+			_, snapshot := install(New(), Configuration{Version: 1, Organisations: organisations})
+			So(snapshot.RequiresKeys(), ShouldBeTrue)
+		}
+		_, snapshot := install(New(), Configuration{Version: 1, AnonymousCallers: true})
+		So(snapshot.RequiresKeys(), ShouldBeFalse)
+	})
+	Convey("The organisations of an earlier version have no keys in a later one without them", t, func() {
+		s, before := install(New(), Configuration{Version: 1, Organisations: []Organisation{organisation("a", "k")}})
+		So(before.Organisation("k"), ShouldNotBeNil)
+		s = applyEvents(s, &now, ConfigurationRead{Config: &Configuration{Version: 2, Organisations: []Organisation{}}})
+		after := s.Snapshot(before)
+		So(after.RequiresKeys(), ShouldBeTrue)
+		So(after.Organisation("k"), ShouldBeNil)
+		So(before.Organisation("k"), ShouldNotBeNil)
+	})
+	Convey("An empty key and the keys of an organisation without a name are nobody's", t, func() {
+		_, snapshot := install(New(), Configuration{Version: 1, Organisations: []Organisation{organisation("a", "", "k"), organisation("", "l")}})
+		So(snapshot.Organisation(""), ShouldBeNil)
+		So(snapshot.Organisation("l"), ShouldBeNil)
+		So(snapshot.Organisation("k").Name, ShouldEqual, "a")
+	})
+	Convey("A configuration that can't be read changes nothing, and before the first one there is none", t, func() {
+		s, _ := install(New(), Configuration{Version: 1})
+		s = applyEvents(s, &now, ConfigurationRead{})
+		So(s.Snapshot(nil).RequiresKeys(), ShouldBeTrue)
+		s = applyEvents(New(), &now, ServersListed{}, ConfigurationRead{})
+		So(s.Snapshot(nil).Ready, ShouldBeFalse)
+	})
+}
--- a/server/deployed/planned_stop_test.go
+++ b/server/deployed/planned_stop_test.go
@@ -58,7 +58,7 @@
 	state := topology.New()
 	for _, event := range []reduce.Event{
 		topology.ConfigurationRead{Config: &topology.Configuration{
-			Version: 1, Services: map[string]topology.Service{"s": {Name: "s"}},
+			Version: 1, AnonymousCallers: true, Services: map[string]topology.Service{"s": {Name: "s"}},
 			Routes: []topology.Route{route("once", topology.NonIdempotent), route("safe", topology.Idempotent), route("stream", topology.Stream), resumable},
 		}},
 		topology.ServersListed{Servers: []topology.Server{{ID: "b", Service: "s", Address: s.server.Address(), Slots: 50}}},
--- a/server/gateway/admit.go
+++ b/server/gateway/admit.go
@@ -32,7 +32,7 @@
 	if c.route == nil {
 		return result.Errorf(result.UnknownPath, "no route for host %q and the request's path", c.http.Host)
 	}
-	if snapshot.HasOrganisations() && !c.route.Public {
+	if snapshot.RequiresKeys() && !c.route.Public {
 		c.organisation = snapshot.Organisation(c.request.Key)
 		if c.organisation == nil {
 			return result.Errorf(result.Unauthorized, "API key is missing or unknown")
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -46,7 +46,7 @@
 	route        *topology.Route
 	body         []byte
 	fingerprint  string                 // Identifies what the server executes; see poison.Fingerprint.
-	organisation *topology.Organisation // The caller; nil for public routes and if no organisations are configured.
+	organisation *topology.Organisation // The caller; nil for public routes and for anonymous callers.
 	deadline     time.Time              // The caller's deadline or the end of the route's timeout, whichever is sooner.
 }
 
