--- a/server/ports/httpapi/instances.go
+++ b/server/ports/httpapi/instances.go
@@ -43,6 +43,9 @@
 	if err := json.Unmarshal(body, &entries); err != nil {
 		return nil, fmt.Errorf("%w: malformed instance list: %v", ports.ErrUnknownOutcome, err)
 	}
+	if entries == nil {
+		return nil, fmt.Errorf("%w: the answer has no instance list", ports.ErrUnknownOutcome)
+	}
 	list, malformed := decodeInstances(entries)
 	i.list, i.etag = list, response.Header.Get("ETag")
 	return list, malformed
--- a/server/ports/httpapi/instances_test.go
+++ b/server/ports/httpapi/instances_test.go
@@ -81,3 +81,20 @@
 		}
 	})
 }
+
+// Guards against taking an answer without a list for an empty one, which would make a process
+// forget all others.
+func TestMissingInstanceList(t *testing.T) {
+	Convey("null in place of the list is an error, and an empty list is none", t, func() {
+		answer := "null"
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer) }))
+		defer server.Close()
+		instances := httpapi.NewStore(server.URL, http.DefaultTransport).Instances()
+		_, err := instances.List(context.Background())
+		So(err, ShouldWrap, ports.ErrUnknownOutcome)
+		answer = "[]"
+		list, err := instances.List(context.Background())
+		So(err, ShouldBeNil)
+		So(list, ShouldBeEmpty)
+	})
+}
