--- a/policy/topology/snapshot.go
+++ b/policy/topology/snapshot.go
@@ -139,21 +139,22 @@
 func (s *Snapshot) ListedServers(service string) []Server { return s.listedServers[service] }
 
 // PickService returns the service of one of the route's targets, which a random number
-// in [0, 1) selects in proportion to the weights; "" if there are no targets.
+// in [0, 1) selects in proportion to the weights; "" if no target has a weight.
 func (r *Route) PickService(random float64) string {
 	total := 0
 	for _, target := range r.Targets {
-		total += target.Weight
+		total += max(0, target.Weight)
 	}
 	remaining := random * float64(total)
+	picked := ""
 	for _, target := range r.Targets {
-		remaining -= float64(target.Weight)
-		if remaining < 0 {
-			return target.Service
+		if target.Weight <= 0 {
+			continue
+		}
+		picked = target.Service
+		if remaining -= float64(target.Weight); remaining < 0 {
+			break
 		}
 	}
-	if len(r.Targets) == 0 {
-		return ""
-	}
-	return r.Targets[len(r.Targets)-1].Service
+	return picked
 }
