intact: a head that runs into another one is no answer

Callers were told 503 or 429, the promise that a request has not run, for requests that had run, and work that must not be repeated ran at a second server, when a server wrote an earlier refusal once more, cut off in its reason phrase or in the value of a field, before the answer.

Cause: such bytes are a valid head, with the status and the first fields of the refusal and with the answer's fields, its attempt ID among them. The check of the ID passes.

A head in which a status line stands in the reason or in a field is refused now, for all readers of answers. Evidence: TestEarlierRefusalsOnceMore (six refusals, cut at every byte, then the answer, a close or a reset, on kept and fresh connections, three kinds of requests) failed before in 16 of its parts: "503, but it has run 1 times", "ran 2 times". It passes, and the sound answer behind a whole refusal gets through. TestAnswersCutAtEveryByte, for answers cut in head or body, held before.

Raw servers of tests close their connections without TIME_WAIT, and are closed with their gateway: thousands are started.

--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/server/quarantine"
+	"persimmonwind.dev/server/upstream/upstreamtest"
 )
 
 // backend is a fake backend server whose answers are scripted.
@@ -196,6 +197,9 @@
 	s.front.Close()
 	for _, b := range backends {
 		_ = b.server.Close()
+		if raw, ok := b.listener.(*upstreamtest.RawServer); ok {
+			raw.Stop()
+		}
 	}
 }
 
--- a/server/intact/response.go
+++ b/server/intact/response.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 )
 
@@ -34,6 +35,9 @@
 	if err := checkFieldNames(response.Header); err != nil {
 		return err
 	}
+	if err := checkMerged(response); err != nil {
+		return err
+	}
 	response.Body = &body{ReadCloser: response.Body, response: response}
 	return nil
 }
@@ -49,6 +53,26 @@
 	return nil
 }
 
+// statusLine matches a status line of HTTP/1.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// checkMerged returns ErrInvalidResponse if the status line or a field goes on with the status
+// line of another response: a head that was cut off, followed by a whole one, is otherwise a
+// valid head with the status of the first response and the fields of both.
+func checkMerged(response *http.Response) error {
+	if statusLine.MatchString(response.Status) {
+		return fmt.Errorf("%w: status %.80q", ErrInvalidResponse, response.Status)
+	}
+	for name, values := range response.Header {
+		for _, value := range values {
+			if strings.Contains(value, "HTTP/") && statusLine.MatchString(value) {
+				return fmt.Errorf("%w: field %s holds a status line, %.80q", ErrInvalidResponse, name, value)
+			}
+		}
+	}
+	return nil
+}
+
 // body is the body of a response whose trailers are checked at its end.
 type body struct {
 	io.ReadCloser
--- a/server/upstream/upstreamtest/raw.go
+++ b/server/upstream/upstreamtest/raw.go
@@ -99,7 +99,9 @@
 func (s *RawServer) Stop() {
 	_ = s.Close()
 	s.open.Range(func(conn, _ any) bool {
-		_ = conn.(net.Conn).Close()
+		tcp := conn.(*net.TCPConn)
+		_ = tcp.SetLinger(0) // Leaves no port in TIME_WAIT: some tests start thousands of servers.
+		_ = tcp.Close()
 		return true
 	})
 }
