gateway: work that a server has refused goes to it on a fresh connection only

A server that writes its refusal once more on another kept connection, and runs the request that it gets there, made it run three times: a request that is sent again has the same attempt ID, so the second refusal looks like that of the second sending.

It costs a connection for each request that is sent to the same server again. A server that refuses and runs a request on a fresh connection can't be told from one that refuses it.

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -58,6 +58,7 @@
 	refusedByDispatcher bool          // The dispatcher has refused the request; no attempt follows.
 	quarantined         bool          // The request must not be sent to a server; no attempt follows.
 	avoidServer         string        // The server of the latest failed attempt.
+	refusedBy           []string      // Servers that have refused the request.
 	waited              time.Duration // Time in the dispatcher's queue.
 }
 
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -54,6 +55,9 @@
 func (c *call) send(ctx context.Context, service string, server topology.Candidate) (dispatch.Outcome, *result.Error) {
 	conn, err := c.gateway.pool.Get(ctx, upstream.Target{
 		Address: server.Address, NonRepeatable: !c.route.Repeatable(),
+		// On another connection, the refusal could be an earlier one that the server has
+		// written once more: both have the same attempt ID.
+		Fresh:   !c.route.Repeatable() && slices.Contains(c.refusedBy, server.ID),
 		MaxIdle: c.snapshot.Service(service).MaxConnections / (2 * c.gateway.assumedEntries()),
 	})
 	if err != nil {
@@ -73,6 +77,7 @@
 	c.observePause(service, server, decoded)
 	if decoded.NotRun {
 		exchange.Abort()
+		c.refusedBy = append(c.refusedBy, server.ID)
 		refusal := result.Errorf(result.Overloaded, "server %s refused with status %d", server.ID, exchange.Response.StatusCode)
 		refusal.RetryAfter = decoded.RetryAfter
 		if decoded.Misdirected {
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -44,6 +44,8 @@
 	// NonRepeatable means that the request must not be sent twice. Get then uses no
 	// connection that has been idle for long, since the server may be closing it.
 	NonRepeatable bool
+	// Fresh means that the request needs a connection that has carried no other.
+	Fresh bool
 	// MaxIdle is the number of idle connections to the server that may be kept;
 	// those of all entries together must stay below the server's connection limit.
 	MaxIdle int
@@ -77,7 +79,7 @@
 // Get returns a reusable idle connection, or a new one. It returns
 // ErrUnreachable if it can't connect.
 func (p *Pool) Get(ctx context.Context, target Target) (*Conn, error) {
-	for {
+	for !target.Fresh {
 		conn := p.takeIdle(target.Address)
 		if conn == nil {
 			break
