gateway: a success that continues no stream is neither an event nor its end

A stream that had broken off and that another server was to go on with got that server's text as events if its status was below 300, and looked complete after an empty success, a 204 or a 206. Errors were held back before.

A stream now goes on only with the status and the type with which it began, and with events whose ids show their place; comments pass. Otherwise the caller's connection is closed, and the caller resumes.

--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -77,6 +77,8 @@
 // relay is the state of the answer to the caller.
 type relay struct {
 	responseStarted bool   // The status and headers have been sent to the caller.
+	startedStatus   int    // The status of a stream that was sent to the caller.
+	startedType     string // Its Content-Type.
 	lastEventID     string // ID of the latest event that the caller has.
 	relayedEvents   int
 	firstByteAt     time.Time
--- a/server/gateway/send.go
+++ b/server/gateway/send.go
@@ -91,6 +91,10 @@
 		exchange.Abort()
 		return dispatch.Failed, result.Errorf(result.BackendFailed, "invalid answer: status %d, stamped %t, encoded %t", exchange.Response.StatusCode, decoded.Stamped, decoded.HasContentEncoding)
 	}
+	if c.responseStarted && !c.continues(exchange.Response) {
+		exchange.Abort()
+		return dispatch.Failed, result.Errorf(result.CutAnswer, "stream could not be resumed: server answered status %d, type %.60q", exchange.Response.StatusCode, exchange.Response.Header.Get("Content-Type"))
+	}
 	if c.route.Kind == topology.Stream && exchange.Response.StatusCode < http.StatusMultipleChoices {
 		return c.relayStream(ctx, service, server.ID, exchange)
 	}
--- a/server/gateway/stream.go
+++ b/server/gateway/stream.go
@@ -26,6 +26,7 @@
 
 var (
 	errEventOrder     = errors.New("event ids are out of order")
+	errNoContinuation = errors.New("event without an id that tells its place in a stream that is resumed")
 	errTruncatedEvent = fmt.Errorf("stream ended in the middle of an event: %w", io.ErrUnexpectedEOF)
 )
 
@@ -38,6 +39,7 @@
 	defer event.release()
 	var lastAt time.Time
 	answered := false
+	resumed := c.responseStarted
 	// The server has answered if it goes on for a while after the first event.
 	observeAnswered := func(complete bool) {
 		if !answered && (c.answering() || complete && !c.firstEventAt.IsZero()) {
@@ -55,7 +57,7 @@
 			return dispatch.Served, nil
 		}
 		if err == nil {
-			err = c.checkEventOrder(id)
+			err = c.checkEvent(event.data, id, resumed)
 		}
 		observeAnswered(false)
 		if err != nil {
@@ -80,11 +82,14 @@
 	}
 }
 
-// checkEventOrder returns an error if the event with the id does not come after the
-// events already sent to the caller.
-func (c *call) checkEventOrder(id string) error {
+// checkEvent returns an error if the event with the id does not come after the events already
+// sent to the caller. In a stream that another server resumes, its id must show that.
+func (c *call) checkEvent(event []byte, id string, resumed bool) error {
 	next, nextErr := strconv.ParseInt(id, 10, 64)
 	last, lastErr := strconv.ParseInt(c.lastEventID, 10, 64)
+	if resumed && (nextErr != nil || lastErr != nil) && !isComment(event) {
+		return errNoContinuation
+	}
 	if nextErr != nil || lastErr != nil {
 		return nil // Non-numeric ids can't be compared.
 	}
@@ -94,12 +99,19 @@
 	return nil
 }
 
+// continues reports whether the response may go on with the stream that the caller has a part
+// of. A success of another kind is neither an event nor the stream's end.
+func (c *call) continues(response *http.Response) bool {
+	return response.StatusCode == c.startedStatus && response.Header.Get("Content-Type") == c.startedType
+}
+
 // startStream sends the status and headers of the first server's answer to the caller.
 func (c *call) startStream(response *http.Response) {
 	if c.responseStarted {
 		return
 	}
 	c.responseStarted = true
+	c.startedStatus, c.startedType = response.StatusCode, response.Header.Get("Content-Type")
 	c.firstByteAt = time.Now()
 	copyHeader(c.writer.Header(), platform.EndToEndHeader(response.Header))
 	c.writeHead(response.StatusCode)
@@ -147,6 +159,17 @@
 	}
 }
 
+// isComment reports whether the event holds nothing but comments, which have no place in the
+// order of a stream.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the value of the event's id field.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
