mapcontrol: ranks whose lists are known leave the reads of lists to the others

A new coordinator stays in its survey until it has the expert lists of every rank; past stopped agents it reads one list a second, and a rank whose list it had asked again and could take all of these reads.

A rank whose lists are known for the map that it reports asks no more.

--- a/policy/mapswitch/mapswitch.go
+++ b/policy/mapswitch/mapswitch.go
@@ -410,6 +410,13 @@
 	return s.Phase == Idle && s.Current != nil && s.CurrentVersion == 0
 }
 
+// HasLists reports whether the expert lists of the rank are known for the map that it reports
+// to use.
+func (s State) HasLists(rank int) bool {
+	known, ok := s.Ranks[rank]
+	return ok && known.Lists.Experts != nil && known.Lists.MapVersion == known.State.MapVersion
+}
+
 // NeedsLists reports whether the lists of the experts that the ranks hold must be
 // read along with their state.
 func (s State) NeedsLists() bool { return s.Phase == Survey && !s.showsInitialMap() }
--- a/server/mapcontrol/coordinator.go
+++ b/server/mapcontrol/coordinator.go
@@ -124,6 +124,7 @@
 	IsRelayed     bool          // The ranks are read in batches, through relays.
 	HoldRanks     [2]int        // The ranks that take part in the next hold, besides the coordinator's.
 	MustReadLists bool          // The expert lists of the ranks must be read.
+	HasLists      map[int]bool  // By rank, whether its lists are known, if they must be read.
 
 	Slowness []float64 // Time of each rank for one unit of load, relative to a normal rank, as reported.
 	Requests int       // Number of requests at all ranks, including queued ones.
@@ -132,9 +133,15 @@
 // newView returns the view of a control state.
 func newView(s mapswitch.State) view {
 	holder, sender := s.HoldRanks()
+	hasLists := map[int]bool{}
+	if s.NeedsLists() {
+		for rank := range s.Ranks {
+			hasLists[rank] = s.HasLists(rank)
+		}
+	}
 	return view{
 		Phase: s.Phase, Epoch: s.Epoch, Size: s.Size, Current: s.Current, IsInitial: s.UsesInitialMap(), IdleSince: s.PhaseStartedAt,
-		IsRelayed: usesRelays(s.Size), HoldRanks: [2]int{holder, sender}, MustReadLists: s.NeedsLists(),
+		IsRelayed: usesRelays(s.Size), HoldRanks: [2]int{holder, sender}, MustReadLists: s.NeedsLists(), HasLists: hasLists,
 		Slowness: s.Slowness(), Requests: s.Requests(),
 	}
 }
--- a/server/mapcontrol/reads.go
+++ b/server/mapcontrol/reads.go
@@ -106,7 +106,7 @@
 		reply, isDirect = ReadReply{}, true
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		if err := readEngine(callCtx, c.directEngine(member.Server), readLists && c.allowRemoteLists(), &reply); err != nil {
+		if err := readEngine(callCtx, c.directEngine(member.Server), readLists && !c.hasLists(member) && c.allowRemoteLists(), &reply); err != nil {
 			return // A read without an answer does not change the control state.
 		}
 	}
@@ -116,6 +116,23 @@
 	}
 }
 
+// hasLists reports whether the expert lists of the member are known: those that are not must
+// not wait for reads of those that are.
+func (c *coordinator) hasLists(member Member) bool {
+	current := c.loop.View()
+	if current == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for rank, known := range c.membersByRank {
+		if known.Server == member.Server {
+			return current.HasLists[rank]
+		}
+	}
+	return false
+}
+
 // allowRemoteLists reports whether expert lists may now be read directly from an
 // engine on another machine, and if so records the read.
 func (c *coordinator) allowRemoteLists() bool {
