node: in force within 9 s after an outage of the store, in the product's own shape too

The sums of docs/design/store-outages.md showed two chains beyond their bound: a fetch of the configuration whose time-outs (store 4 s, silent peers 2 s) and delay (up to 5 or 6 s) add up to 11.1 or 12.1 s, and the read of the instance list, which had no time-out: after one lost answer a process never read the list again.

The store's time-out is 3 s, the delays have jitter of four tenths instead of as much again, and the list is read with the store's time-out: 8.6, 7.9 and 5.0 s.

--- a/policy/view/view.go
+++ b/policy/view/view.go
@@ -23,9 +23,10 @@
 
 	pollJitter          = 500 * time.Millisecond  // Greatest random delay after a successful fetch before the next one.
 	behindRetryDelay    = 200 * time.Millisecond  // Base of the exponential backoff while a newer revision is known or there is no snapshot.
-	maxBehindRetryDelay = 3 * time.Second         // Longest backoff, before jitter.
+	maxBehindRetryDelay = 2 * time.Second         // Longest backoff, before jitter.
 	maxRetryDoublings   = 4                       // Failed fetches after which the backoff no longer doubles.
 	outageRetryDelay    = 2500 * time.Millisecond // Retry delay while no newer revision is known, before jitter.
+	retryJitterShare    = 0.4                     // Greatest random addition to a retry delay, as a share of it.
 )
 
 // State is what a process knows about the configuration.
@@ -169,7 +170,7 @@
 	if state.Behind() || state.InForce == nil {
 		delay = min(behindRetryDelay<<min(state.Failures, maxRetryDoublings), maxBehindRetryDelay)
 	}
-	state.NextFetch = input.Now.Add(delay + jitter(input.Random, delay))
+	state.NextFetch = input.Now.Add(delay + jitter(input.Random, time.Duration(retryJitterShare*float64(delay))))
 	return state
 }
 
--- a/server/node/configuration.go
+++ b/server/node/configuration.go
@@ -20,7 +20,10 @@
 )
 
 const (
-	storeTimeout     = 4 * time.Second
+	// storeTimeout and peerFetchTimeout bound the two parts of a fetch. After an outage both
+	// may have to pass, and then the delay before the next fetch, 3.5 s at most, within the
+	// 9 s in which a change must be in force.
+	storeTimeout     = 3 * time.Second
 	peerFetchTimeout = 2 * time.Second
 	// fetchPeerCount is the number of random peers that are asked for a newer
 	// configuration or for the instance list. A node without a configuration asks
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -190,13 +190,20 @@
 // done. When a read fails, the previous list stays in use.
 func (n *Node) watchInstances(ctx context.Context) {
 	for ctx.Err() == nil {
-		list, err := n.Store.Instances().List(ctx)
-		if err == nil || errors.Is(err, ports.ErrMalformedEntries) {
-			n.members.setListed(list, time.Now())
-		}
-		if err != nil && ctx.Err() == nil {
-			logevent.Write(n.Log(), logevent.InstanceListStale, logrus.Fields{"error": err.Error()})
-		}
+		n.readInstances(ctx)
 		wait.For(ctx, instancesInterval)
 	}
 }
+
+// readInstances reads the instance list once, for storeTimeout at most.
+func (n *Node) readInstances(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list, err := n.Store.Instances().List(callCtx)
+	if err == nil || errors.Is(err, ports.ErrMalformedEntries) {
+		n.members.setListed(list, time.Now())
+	}
+	if err != nil && ctx.Err() == nil {
+		logevent.Write(n.Log(), logevent.InstanceListStale, logrus.Fields{"error": err.Error()})
+	}
+}
