--- a/server/gateway/repeated_answers_test.go
+++ b/server/gateway/repeated_answers_test.go
@@ -252,3 +252,25 @@
 		}
 	}
 }
+
+// Guards against relaying an answer whose status is none of HTTP's, or what stands behind it,
+// also on a connection that has carried sound answers.
+func TestInvalidStatusOnAnyConnection(t *testing.T) {
+	const fields = header.AttemptID + ": {ID}\r\n" + header.Stamp + ": s\r\n" + eventStream
+	for _, status := range []string{"000", "00", "0", "-00", "+20", "099", "101", "600", "999"} {
+		for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+			for _, rest := range []string{"Content-Length: 7\r\n\r\nearlier", "\r\n", "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 7\r\n\r\nearlier"} {
+				for end := range endings {
+					for _, kept := range keptAndFresh {
+						f := newFaultyServers()
+						got := f.meet(t, path, fault{before: "HTTP/1.1 " + status + " x\r\n" + fields + rest, end: end, kept: kept})
+						f.stop()
+						if want := map[bool]int{true: http.StatusBadGateway, false: http.StatusOK}[path == "/once/x"]; got != want {
+							t.Errorf("status %s, %q %s, %s: %d", status, rest, endings[end], path, got)
+						}
+					}
+				}
+			}
+		}
+	}
+}
