gateway, intact: read more easily; the tests name organisations as the code does

No behaviour changes: a branch that the check of continuations made unreachable is gone, and the search for status lines in fields has a name. Configurations of tests are changed through platformtest, which knows the platform's names.

--- a/server/deployed/empty_lists_test.go
+++ b/server/deployed/empty_lists_test.go
@@ -52,7 +52,7 @@
 	f := newFleet(t)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 	defer client.CloseIdleConnections()
-	organisation := func(keys any) []any { return []any{map[string]any{"name": "org-a", "api_keys": keys}} }
+	organisation := func(keys any) []any { return []any{platformtest.Organisation("org-a", keys)} }
 	missing := struct{}{}
 	steps := []struct {
 		name          string
@@ -75,9 +75,9 @@
 	for i, step := range steps {
 		config := platformtest.Configuration(int64(10+i), platformtest.Shape{Ranks: fleetEngines, Sets: 2, Experts: 16, Places: 6}, false)
 		platformtest.RequireKey(config, "org-a", fleetKey)
-		config["tenants"] = step.organisations
+		platformtest.SetOrganisations(config, step.organisations)
 		if step.organisations == missing {
-			delete(config, "tenants")
+			platformtest.RemoveOrganisations(config)
 		}
 		f.put(platform.TableOperators, platformtest.ConfigurationKey, config)
 		end := time.Now().Add(changeInForce)
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -33,11 +33,6 @@
 		return outcome, failure
 	}
 	exchange.Finish()
-	if c.responseStarted {
-		// The caller already has a part of a stream, which no other kind of answer
-		// can continue.
-		return dispatch.Failed, result.Errorf(result.CutAnswer, "stream could not be resumed: server answered status %d", exchange.Response.StatusCode)
-	}
 	complete := &answer{status: exchange.Response.StatusCode, header: platform.EndToEndHeader(exchange.Response.Header), body: body.data}
 	if complete.status >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.fallbackAnswer = complete
--- a/server/intact/response.go
+++ b/server/intact/response.go
@@ -60,12 +60,12 @@
 // line of another response: a head that was cut off, followed by a whole one, is otherwise a
 // valid head with the status of the first response and the fields of both.
 func checkMerged(response *http.Response) error {
-	if statusLine.MatchString(response.Status) {
+	if holdsStatusLine(response.Status) {
 		return fmt.Errorf("%w: status %.80q", ErrInvalidResponse, response.Status)
 	}
 	for name, values := range response.Header {
 		for _, value := range values {
-			if strings.Contains(value, "HTTP/") && statusLine.MatchString(value) {
+			if holdsStatusLine(value) {
 				return fmt.Errorf("%w: field %s holds a status line, %.80q", ErrInvalidResponse, name, value)
 			}
 		}
@@ -73,6 +73,10 @@
 	return nil
 }
 
+func holdsStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/") && statusLine.MatchString(text)
+}
+
 // body is the body of a response whose trailers are checked at its end.
 type body struct {
 	io.ReadCloser
