--- a/server/cmd/persimmonwind/deployed.go
+++ b/server/cmd/persimmonwind/deployed.go
@@ -75,7 +75,7 @@
 		}
 		log = log.WithField("process", settings.Instance)
 		tuneRuntime(settings)
-		logevent.Write(log, logevent.ProcessStarted, logrus.Fields{
+		logStart(log, logrus.Fields{
 			"role": use, "data_centre": settings.DataCentre, "store": settings.StoreAddress,
 			"memory_mb": settings.MemoryMB, "cpu_share": settings.CPUShare,
 		})
--- a/server/cmd/persimmonwind/main.go
+++ b/server/cmd/persimmonwind/main.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"persimmonwind.dev/server/buildinfo"
 	"persimmonwind.dev/server/logevent"
 )
 
@@ -28,6 +29,7 @@
 	root := &cobra.Command{
 		Use:           "persimmonwind",
 		Short:         "Load balancer for expert-parallel model groups",
+		Version:       buildinfo.Revision(),
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
@@ -43,6 +45,12 @@
 	return logrus.NewEntry(logger)
 }
 
+// logStart logs the start of a process with the fields and the program's revision.
+func logStart(log *logrus.Entry, fields logrus.Fields) {
+	fields["revision"] = buildinfo.Revision()
+	logevent.Write(log, logevent.ProcessStarted, fields)
+}
+
 // logExit logs whether the process stopped or failed, and returns err.
 func logExit(log *logrus.Entry, err error) error {
 	if err != nil {
--- a/server/cmd/persimmonwind/processes.go
+++ b/server/cmd/persimmonwind/processes.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"persimmonwind.dev/server/agent"
@@ -33,6 +34,7 @@
 			return err
 		}
 		log := newLog().WithField("process", config.ID)
+		logStart(log, logrus.Fields{"role": "entry"})
 		return logExit(log, entry.New(config, listeners, log).Run(command.Context()))
 	}
 	return command
@@ -69,6 +71,7 @@
 			return err
 		}
 		log := newLog().WithField("process", config.ID)
+		logStart(log, logrus.Fields{"role": "agent"})
 		return logExit(log, agent.New(config, listeners, log).Run(command.Context()))
 	}
 	return command
--- a/server/deployed/serve.go
+++ b/server/deployed/serve.go
@@ -13,6 +13,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
+
+	"persimmonwind.dev/server/buildinfo"
 )
 
 // metricsPath is the URL path of the metrics.
@@ -31,10 +33,16 @@
 	})
 }
 
-// newRegistry returns a metrics registry with the metrics of the Go runtime.
+// newRegistry returns a metrics registry with the metrics of the Go runtime and the
+// revision of the program.
 func newRegistry() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector())
+	build := prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "persimmonwind", Name: "build_info", Help: "1, with the revision of the program as a label.",
+		ConstLabels: prometheus.Labels{"revision": buildinfo.Revision()},
+	})
+	build.Set(1)
+	registry.MustRegister(collectors.NewGoCollector(), build)
 	return registry
 }
 
