gateway: the log tells the age of the version that decided a request

A 401 by an old version looked like one for a wrong key: the line of its end had no version, as no route or organisation was found. Event 320 now has config and config_age_ms, the time since the version came into force in this process, whatever the outcome. The test failed before (no such fields).

--- a/policy/topology/snapshot.go
+++ b/policy/topology/snapshot.go
@@ -3,13 +3,15 @@
 import (
 	"sort"
 	"strings"
+	"time"
 )
 
 // Snapshot is an immutable view of a State, read by the goroutines that serve
 // traffic.
 type Snapshot struct {
-	Config *Configuration // Configuration in force; nil until the first one has been read.
-	Ready  bool           // The configuration and the list of servers have been read.
+	Config   *Configuration // Configuration in force; nil until the first one has been read.
+	ConfigAt time.Time      // When Config came into force in this process.
+	Ready    bool           // The configuration and the list of servers have been read.
 
 	routesByHost       map[string][]*Route // By lower-case host, the route with the longest prefix first.
 	organisationsByKey map[string]*Organisation
@@ -28,6 +30,7 @@
 func (s State) Snapshot(previous *Snapshot) *Snapshot {
 	snapshot := &Snapshot{
 		Config:     s.Config,
+		ConfigAt:   s.ConfigAt,
 		Ready:      s.Config != nil && s.ServersLoaded,
 		candidates: map[string][]Candidate{}, listedServers: map[string][]Server{},
 	}
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -40,6 +40,7 @@
 // State is what a process knows about the deployment.
 type State struct {
 	Config   *Configuration
+	ConfigAt time.Time // When Config came into force in this process.
 	Servers  map[string]ServerState
 	TakenOut map[string]bool // Data centres that are taken out.
 
@@ -156,7 +157,7 @@
 		s, dropped := s.dropExpired(input.Now)
 		return s, append(returned, dropped...)
 	case ConfigurationRead:
-		return s.install(event.Config)
+		return s.install(event.Config, input.Now)
 	case DataCentreRead:
 		delete(s.takenOutInDoubt, event.DataCentre)
 		return s.setTakenOut(event.DataCentre, event.TakenOut)
@@ -183,7 +184,7 @@
 
 // install puts the configuration in force unless its version is lower than the one in
 // force.
-func (s State) install(config *Configuration) (State, []reduce.Effect) {
+func (s State) install(config *Configuration, now time.Time) (State, []reduce.Effect) {
 	if config == nil {
 		return s, []reduce.Effect{Change{What: "configuration", Outcome: "rejected", Reason: "row cannot be decoded"}}
 	}
@@ -193,7 +194,7 @@
 		}
 		return s, []reduce.Effect{Change{What: "configuration", Outcome: "rejected", Version: config.Version, Reason: "version is lower than the one in force"}}
 	}
-	s.Config = config
+	s.Config, s.ConfigAt = config, now
 	return s, []reduce.Effect{Change{What: "configuration", Outcome: "installed", Version: config.Version}}
 }
 
--- a/server/gateway/deliver.go
+++ b/server/gateway/deliver.go
@@ -120,12 +120,14 @@
 		fields["error"] = failure.Error()
 		fields["retry_after_ms"] = failure.RetryAfter.Milliseconds()
 	}
+	if c.snapshot != nil {
+		fields["config"], fields["config_age_ms"] = c.snapshot.Config.Version, c.arrivedAt.Sub(c.snapshot.ConfigAt).Milliseconds()
+	}
 	fields["code"] = int(code)
 	route := "none"
 	if c.route != nil {
 		route = c.route.Name
 		fields["deadline_ms"] = c.deadline.Sub(c.arrivedAt).Milliseconds()
-		fields["config"] = c.snapshot.Config.Version
 	}
 	fields["route"] = route
 	if !c.firstByteAt.IsZero() {
