--- a/server/upstream/store_connections_test.go
+++ b/server/upstream/store_connections_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -50,3 +52,37 @@
 		So(err, ShouldBeNil)
 	})
 }
+
+// Guards against large answers that stall and keep the place of others until their polls
+// have waited for a change and timed out.
+func TestLargeAnswersBehindStalledOnes(t *testing.T) {
+	Convey("When as many large answers have stalled as are read at a time, the next large one is read", t, func() {
+		large := platformtest.LargeRowsAnswer(2 * smallAnswerBytes)
+		var arrived atomic.Int32
+		stalled := make(chan struct{}, maxLargeStoreAnswers)
+		s := upstreamtest.NewRawServer(func(r upstreamtest.Request) bool {
+			sent := len(large)
+			if arrived.Add(1) <= maxLargeStoreAnswers {
+				sent = smallAnswerBytes + 1000
+				defer func() { stalled <- struct{}{} }()
+			}
+			r.Send("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large), large[:sent])
+			return true
+		})
+		defer s.Stop()
+		store := platform.NewStore(s.Address(), StoreTransport(Dial))
+		ctx, cancel := context.WithCancel(context.Background())
+		var calls sync.WaitGroup
+		for range maxLargeStoreAnswers {
+			calls.Go(func() { _, _ = store.Feed(ctx, "t", 1, 25*time.Second) })
+		}
+		defer calls.Wait()
+		defer cancel()
+		for range maxLargeStoreAnswers {
+			<-stalled
+		}
+		time.Sleep(300 * time.Millisecond) // Of the second after which a stalled answer is given up.
+		_, err := store.Feed(ctx, "t", 1, 0)
+		So(err, ShouldBeNil)
+	})
+}
