gateway: set the pool of a test before the gateway runs

It replaced the gateway's pool while closeIdle, which reads it once a second, was running; nothing in the product replaces the pool. Whether the detector saw it hung on whether a case lasts longer than a second, so it showed on a busy machine only.

newSystemWithPool now sets the pool before the gateway runs; the checks are unchanged.

--- a/server/gateway/broken_answers_test.go
+++ b/server/gateway/broken_answers_test.go
@@ -81,9 +81,8 @@
 				first, second := newRawBackend("b1", script), newRawBackend("b2", script)
 				config := configuration()
 				config.Limits.BodyBytes = longUploadBytes
-				s := newSystemWithConfig(config, first, second)
+				s := newSystemWithPool(upstream.NewPool(dialFirstInOrder(order)), config, first, second)
 				defer s.close(first, second)
-				s.gateway.pool = upstream.NewPool(dialFirstInOrder(order))
 				response, body, err := s.send("POST", c.path, strings.Repeat("u", longUploadBytes), nil)
 				if c.want == "" {
 					So(err, ShouldBeNil)
--- a/server/gateway/gateway_test.go
+++ b/server/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"persimmonwind.dev/policy/result"
 	"persimmonwind.dev/policy/topology"
 	"persimmonwind.dev/server/quarantine"
+	"persimmonwind.dev/server/upstream"
 	"persimmonwind.dev/server/upstream/upstreamtest"
 )
 
@@ -168,11 +169,17 @@
 // newSystemWithConfig returns a running gateway in front of the backends, all of them
 // servers of the service "s".
 func newSystemWithConfig(config *topology.Configuration, backends ...*backend) *system {
+	return newSystemWithPool(upstream.NewPool(upstream.Dial), config, backends...)
+}
+
+// newSystemWithPool is newSystemWithConfig with the pool of connections to the backends.
+func newSystemWithPool(pool *upstream.Pool, config *topology.Configuration, backends ...*backend) *system {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	settings := platform.Settings{RetryRatio: 0.2, RetryReserve: 90, WarmUpOvershoot: 1.5, WarmUpAllowance: 5}
 	registry := prometheus.NewRegistry()
 	g := New(settings, unguarded{}, logrus.NewEntry(log), NewMetrics(registry))
+	g.pool = pool
 	state := topology.New()
 	step := func(event reduce.Event) {
 		state, _ = topology.Step(state, reduce.Input{Now: time.Now(), Event: event})
